Set down the workspace, the core types, the blackboard and the engine

The shape first: immutable values, a blackboard whose sections have one writer each, abstract controllers, and an engine that turns events into actions without a thread, a socket or a clock.

--- /dev/null
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "papayafall/core/blackboard/cell.hpp"
+#include "papayafall/core/blackboard/message_queue.hpp"
+#include "papayafall/core/blackboard/table.hpp"
+#include "papayafall/core/messages/action.hpp"
+#include "papayafall/core/messages/event.hpp"
+#include "papayafall/core/state/queue_state.hpp"
+#include "papayafall/core/state/seat_state.hpp"
+#include "papayafall/core/state/self_state.hpp"
+#include "papayafall/core/state/submission_state.hpp"
+#include "papayafall/core/state/target_state.hpp"
+
+namespace papayafall {
+
+/// Where the controllers of one process read and write.
+///
+/// Each section holds immutable values and has one writer, named beside it. Every controller
+/// reads every section. The blackboard belongs to the control thread alone.
+class blackboard {
+  public:
+    explicit blackboard(const self_state& identity) : self(identity) {}
+
+    // written by membership_controller
+    cell<self_state> self;
+    table<host_name, host_state> hosts;
+    cell<host_list_snapshot> host_list;
+
+    // written by configuration_controller
+    cell<configuration> current_configuration;
+
+    // written by seat_controller
+    cell<time_point> session_lease; ///< instant at which the platform session may lapse
+    table<seat_id, seat_state> seats;
+
+    // written by target_controller
+    table<target_name, target_state> targets;
+
+    // written by submission_controller
+    table<submission_id, submission_state> submissions;
+    table<request_key, submission_id> keys;
+    table<call_id, submission_id> calls;
+    table<home_owner, task_result> results;
+    table<submission_id, answer> answers; ///< kept for resubmissions
+    table<correlation_id, forward_state> forwards;
+
+    // written by scheduling_controller
+    table<queue_rank, queued_work> queue;
+    table<work_owner, queue_rank> queued;
+    table<exchange_id, exchange_state> exchanges;
+    table<work_owner, exchange_id> running;
+    table<target_name, slot_usage> slots;
+
+    // appended to by every controller, drained by the engine
+    message_queue<event> raised;
+    message_queue<action> outbox;
+
+    /// Asserts what must hold between events, within and across sections.
+    /// @throws invariant_error on the first breach
+    /// Complexity: linear in the size of all sections.
+    void check_invariants() const;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/blackboard/table.hpp
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/core/values/time.hpp"
+
+#include <boost/intrusive/set.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <cstddef>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace papayafall {
+
+template <typename Key, typename Value>
+class table;
+
+/// The right to change one table; a table gives it out once.
+template <typename Key, typename Value>
+class table_writer {
+  public:
+    /// Inserts or replaces the value under `key`.
+    /// @param deadline instant from which the entry appears in `table::expired`
+    /// Complexity: logarithmic in the size of the table.
+    void put(const Key& key, Value value, time_point deadline = no_deadline)
+    {
+        table_->put(key, std::move(value), deadline);
+    }
+
+    /// Removes the value under `key`; returns whether there was one. Complexity: logarithmic.
+    bool erase(const Key& key) { return table_->erase(key); }
+
+  private:
+    friend class table<Key, Value>;
+
+    explicit table_writer(table<Key, Value>& owner) noexcept : table_(&owner) {}
+
+    table<Key, Value>* table_;
+};
+
+/// A section of the blackboard: immutable values by key, ordered by key and by deadline.
+///
+/// Anyone may read; only the holder of the `table_writer` may change it. Entries are linked
+/// into two intrusive trees and counted intrusively, so that a reader of `find` keeps its value
+/// alive by copying it.
+template <typename Key, typename Value>
+class table {
+  public:
+    struct entry : boost::intrusive_ref_counter<entry, boost::thread_unsafe_counter>,
+                   boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_key>>,
+                   boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_deadline>> {
+        entry(Key k, Value v, time_point at) : key(std::move(k)), value(std::move(v)), deadline(at)
+        {
+        }
+
+        const Key key;
+        const Value value;
+        const time_point deadline;
+    };
+
+  private:
+    struct key_of {
+        using type = Key;
+
+        const Key& operator()(const entry& it) const noexcept { return it.key; }
+    };
+
+    struct deadline_of {
+        using type = time_point;
+
+        const time_point& operator()(const entry& it) const noexcept { return it.deadline; }
+    };
+
+    using key_index =
+        boost::intrusive::set<entry,
+                              boost::intrusive::base_hook<boost::intrusive::set_base_hook<
+                                  boost::intrusive::tag<struct by_key>>>,
+                              boost::intrusive::key_of_value<key_of>>;
+    using deadline_index =
+        boost::intrusive::multiset<entry,
+                                   boost::intrusive::base_hook<boost::intrusive::set_base_hook<
+                                       boost::intrusive::tag<struct by_deadline>>>,
+                                   boost::intrusive::key_of_value<deadline_of>>;
+
+  public:
+    using const_iterator = typename key_index::const_iterator;
+
+    table() = default;
+    table(const table&) = delete;
+    table& operator=(const table&) = delete;
+
+    ~table() { clear(); }
+
+    /// Gives out the right to change this table.
+    /// @throws ownership_error when it was given out before
+    table_writer<Key, Value> claim()
+    {
+        if (claimed_) {
+            throw ownership_error("a blackboard table was claimed by a second writer");
+        }
+        claimed_ = true;
+        return table_writer<Key, Value>(*this);
+    }
+
+    /// Returns the value under `key`, or nullptr. Complexity: logarithmic.
+    /// The pointer is valid until the key is replaced or erased.
+    const Value* find(const Key& key) const
+    {
+        const auto it = keys_.find(key);
+        return it == keys_.end() ? nullptr : &it->value;
+    }
+
+    bool contains(const Key& key) const { return keys_.find(key) != keys_.end(); }
+
+    std::size_t size() const noexcept { return keys_.size(); }
+
+    bool empty() const noexcept { return keys_.empty(); }
+
+    /// Entries in the order of their keys.
+    const_iterator begin() const noexcept { return keys_.begin(); }
+
+    const_iterator end() const noexcept { return keys_.end(); }
+
+    /// First entry whose key is not less than `key`.
+    const_iterator lower_bound(const Key& key) const { return keys_.lower_bound(key); }
+
+    /// Earliest deadline of an entry, or `no_deadline`.
+    time_point next_deadline() const noexcept
+    {
+        return deadlines_.empty() ? no_deadline : deadlines_.begin()->deadline;
+    }
+
+    /// Key of the entry with the earliest deadline, when that is not after `now`.
+    std::optional<Key> expired(time_point now) const
+    {
+        if (deadlines_.empty() || deadlines_.begin()->deadline > now) {
+            return std::nullopt;
+        }
+        return deadlines_.begin()->key;
+    }
+
+    /// @throws invariant_error when the two indexes disagree
+    void check_invariants() const
+    {
+        ensure(keys_.size() == deadlines_.size(), "both indexes of a table hold the same entries");
+    }
+
+  private:
+    friend class table_writer<Key, Value>;
+
+    void put(const Key& key, Value value, time_point deadline)
+    {
+        erase(key);
+        boost::intrusive_ptr<entry> it(new entry(key, std::move(value), deadline));
+        keys_.insert(*it);
+        deadlines_.insert(*it);
+        it.detach();
+    }
+
+    bool erase(const Key& key)
+    {
+        const auto it = keys_.find(key);
+        if (it == keys_.end()) {
+            return false;
+        }
+        unlink(*it);
+        return true;
+    }
+
+    void unlink(entry& it)
+    {
+        const boost::intrusive_ptr<entry> last(&it, false);
+        keys_.erase(keys_.iterator_to(it));
+        deadlines_.erase(deadlines_.iterator_to(it));
+    }
+
+    void clear()
+    {
+        while (!keys_.empty()) {
+            unlink(*keys_.begin());
+        }
+    }
+
+    key_index keys_;
+    deadline_index deadlines_;
+    bool claimed_ = false;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/messages/event.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "papayafall/core/values/answer.hpp"
+#include "papayafall/core/values/configuration.hpp"
+#include "papayafall/core/values/host.hpp"
+#include "papayafall/core/values/request.hpp"
+#include "papayafall/core/values/work.hpp"
+
+#include <optional>
+#include <variant>
+
+namespace papayafall {
+
+// Events are constructed once and never assigned, so that their members are const.
+
+/// A caller sent a request to this process.
+struct request_received {
+    const call_id call;
+    const request content;
+};
+
+/// A caller hung up before its answer.
+struct call_closed {
+    const call_id call;
+};
+
+/// A caller or a peer asks to cancel a submission.
+struct cancel_received {
+    const request_origin origin;
+    const request_key key;
+};
+
+/// A caller asks for tickets.
+struct tickets_requested {
+    const call_id call;
+    const std::uint32_t count = 1;
+};
+
+/// A peer forwarded a request to this process as its home.
+struct forward_received {
+    const peer_origin origin;
+    const request content;
+};
+
+/// The home answered a request that this process forwarded.
+struct forward_answered {
+    const correlation_id correlation;
+    const answer result;
+};
+
+/// A request could not be forwarded, or its link broke.
+struct forward_failed {
+    const correlation_id correlation;
+    const bool may_have_arrived = true;
+};
+
+/// A peer delegated one task to this process's targets.
+struct delegation_received {
+    const peer_owner owner;
+    const work_item work;
+};
+
+/// An attempt to run a task, at a target or through a peer, ended.
+struct exchange_finished {
+    const exchange_id exchange;
+    const exchange_outcome outcome;
+};
+
+/// A peer's heartbeat arrived.
+struct heartbeat_received {
+    const heartbeat beat;
+};
+
+/// The platform's host list was read.
+struct host_list_received {
+    const host_list_snapshot hosts;
+};
+
+/// A configuration was read from the platform or from a peer.
+struct configuration_received {
+    const configuration content;
+};
+
+/// The platform confirmed the session under which this process holds seats.
+struct session_confirmed {
+    const time_point lease_until; ///< counted from before the confirming call was sent
+};
+
+/// The platform ended the session, or it was never opened.
+struct session_lost {};
+
+/// The platform granted a seat to this process.
+struct seat_granted {
+    const seat_id seat;
+    /// Keys made before this instant may have been started by a predecessor; empty where none was.
+    const std::optional<wall_time> inherited_at;
+};
+
+/// Another process holds the seat.
+struct seat_refused {
+    const seat_id seat;
+};
+
+/// The process was asked to end gracefully.
+struct shutdown_requested {
+    const time_point deadline;
+};
+
+// Raised by controllers for the controllers that follow.
+
+/// A submission was accepted at its home; its tasks are to be queued.
+struct submission_accepted {
+    const submission_id submission;
+    const request content;
+};
+
+/// A submission needs no further work: answered, cancelled or failed.
+struct submission_closed {
+    const submission_id submission;
+};
+
+/// The result of a task is known.
+struct work_finished {
+    const work_owner owner;
+    const task_result result;
+};
+
+/// Everything that the core reacts to.
+using event =
+    std::variant<request_received, call_closed, cancel_received, tickets_requested,
+                 forward_received, forward_answered, forward_failed, delegation_received,
+                 exchange_finished, heartbeat_received, host_list_received, configuration_received,
+                 session_confirmed, session_lost, seat_granted, seat_refused, shutdown_requested,
+                 submission_accepted, submission_closed, work_finished>;
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/state/queue_state.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "papayafall/core/values/value.hpp"
+#include "papayafall/core/values/work.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+namespace papayafall {
+
+/// Position in the queue; the lowest goes first. Made by a `queue_order`.
+struct queue_rank {
+    std::uint8_t lane = 0; ///< 0: short work, 1: long work
+    std::uint8_t urgency = 0;
+    std::uint64_t fairness = 0; ///< virtual time of the team
+    time_point deadline = no_deadline;
+    std::uint64_t sequence = 0; ///< arrival order; makes the rank unique
+
+    auto operator<=>(const queue_rank&) const = default;
+};
+
+struct queued_work_fields {
+    work_owner owner;
+    work_item work;
+    std::uint32_t attempts = 0;
+    /// Run time that was expected when the work was queued.
+    duration expected_run_time{};
+
+    auto operator<=>(const queued_work_fields&) const = default;
+};
+
+/// A task that waits for a slot.
+using queued_work = value<queued_work_fields>;
+
+/// Where an exchange runs: at a target of this host or through a peer.
+using exchange_place = std::variant<target_name, peer_id>;
+
+struct exchange_state_fields {
+    work_owner owner;
+    work_item work;
+    exchange_place place;
+    std::uint32_t attempts = 0; ///< including this one
+    time_point started_at{};
+    duration expected_run_time{};
+    /// Counts against the share of long work.
+    bool long_running = false;
+    /// The owner does not want the result any more.
+    bool abandoned = false;
+
+    auto operator<=>(const exchange_state_fields&) const = default;
+};
+
+/// An attempt in progress.
+using exchange_state = value<exchange_state_fields>;
+
+/// Slots in use at one target by this host.
+struct slot_usage {
+    std::uint32_t short_running = 0;
+    std::uint32_t long_running = 0;
+
+    std::uint32_t total() const noexcept { return short_running + long_running; }
+
+    auto operator<=>(const slot_usage&) const = default;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/state/submission_state.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "papayafall/core/values/answer.hpp"
+#include "papayafall/core/values/request_key.hpp"
+#include "papayafall/core/values/value.hpp"
+#include "papayafall/core/values/work.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace papayafall {
+
+struct submission_state_fields {
+    std::optional<request_key> key;
+    std::uint64_t fingerprint = 0;
+    service_name service;
+    std::uint32_t tasks = 0;
+    std::uint32_t unfinished = 0;       ///< tasks without a result
+    bool closed = false;                ///< answered; the record stays for resubmissions
+    run_state run = run_state::not_run; ///< once closed: what is known about the work
+    std::vector<request_origin> waiters;
+
+    auto operator<=>(const submission_state_fields&) const = default;
+};
+
+/// Record of a submission at its home. It decides whether a task may start.
+using submission_state = value<submission_state_fields>;
+
+struct forward_state_fields {
+    request_origin origin;
+    peer_id home;
+    std::optional<request_key> key;
+
+    auto operator<=>(const forward_state_fields&) const = default;
+};
+
+/// A request that this process forwarded to its home.
+using forward_state = value<forward_state_fields>;
+
+} // namespace papayafall
