--- a/packages/core/include/papayafall/core/messages/action.hpp
+++ b/packages/core/include/papayafall/core/messages/action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayafall/core/state/status_snapshot.hpp"
 #include "papayafall/core/values/answer.hpp"
 #include "papayafall/core/values/configuration.hpp"
 #include "papayafall/core/values/host.hpp"
@@ -108,6 +109,11 @@
     const configuration content;
 };
 
+/// Show the state of this process to operators, health checks and metrics.
+struct publish_status {
+    const status_snapshot status;
+};
+
 /// All work has ended after a shutdown request; the process may exit.
 struct stop_process {};
 
@@ -116,6 +122,6 @@
     std::variant<answer_call, issue_tickets, forward_request, forward_cancel, answer_forward,
                  start_exchange, abandon_exchange, delegate_work, answer_delegation, send_heartbeat,
                  claim_seat, release_seat, watch_configuration, fetch_configuration,
-                 configuration_applied, stop_process>;
+                 configuration_applied, publish_status, stop_process>;
 
 } // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/state/status_snapshot.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "papayafall/core/state/seat_state.hpp"
+#include "papayafall/core/state/self_state.hpp"
+#include "papayafall/core/state/target_state.hpp"
+#include "papayafall/core/values/configuration.hpp"
+#include "papayafall/core/values/host.hpp"
+#include "papayafall/core/values/value.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace papayafall {
+
+/// One seat of this host's zone and whether this host may home keys in it now.
+struct seat_status {
+    seat_id seat;
+    seat_state state;
+    bool homing = false;
+
+    auto operator<=>(const seat_status&) const = default;
+};
+
+struct status_fields {
+    self_state self;
+    configuration current_configuration;
+    std::vector<host_state> hosts;
+    std::vector<target_state> targets;
+    std::vector<seat_status> seats;
+    std::size_t submissions = 0; ///< records held, open and closed
+    std::size_t queued_tasks = 0;
+    std::size_t running_tasks = 0;
+    std::size_t forwards = 0; ///< requests that wait for an answer from their home
+    bool ready = false;       ///< whether new requests can be served at present
+
+    auto operator<=>(const status_fields&) const = default;
+};
+
+/// State of one process for operators, health checks and metrics.
+using status_snapshot = value<status_fields>;
+
+} // namespace papayafall
