Add the HTTP client, the targets' traffic threads and stand-in targets

Each exchange gets a connection of its own by a number of its own as verify name, which Qt's connection cache keys on: 20 requests at one server run at once through one manager. A body that was read cannot be rewound, so that Qt cannot send a POST again.

--- /dev/null
+++ b/packages/daemon/src/targets/target_metrics.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "papayafall/core/values/work.hpp"
+#include "papayafall/platform/http/http_client.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <array>
+
+namespace papayafall::detail {
+
+/// Counters of the exchanges with targets; every member may be called from any thread.
+class target_metrics {
+  public:
+    explicit target_metrics(prometheus::Registry& registry);
+
+    void on_started() { in_flight_.Increment(); }
+
+    void on_finished(const exchange_outcome& outcome);
+
+    /// Adds what a client counted since `before`.
+    void add_connections(const http_client_counters& before, const http_client_counters& now);
+
+  private:
+    std::array<prometheus::Counter*, std::variant_size_v<exchange_outcome>> finished_{};
+    prometheus::Gauge& in_flight_;
+    prometheus::Counter& opened_;
+    prometheus::Counter& renewed_;
+};
+
+} // namespace papayafall::detail
--- /dev/null
+++ b/packages/daemon/src/targets/target_protocol.cpp
@@ -0,0 +1,78 @@
+#include "papayafall/daemon/targets/target_protocol.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace papayafall {
+
+namespace {
+
+constexpr std::uint16_t status_ran = 200;
+
+std::string remaining_milliseconds(time_point deadline, time_point now)
+{
+    const duration left = std::max(deadline - now, duration::zero());
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+}
+
+failure failed_after_run(error_id id, std::string detail)
+{
+    return failure{.id = id, .run = run_state::ran, .detail = std::move(detail)};
+}
+
+exchange_outcome decode_response(const http_response& response)
+{
+    if (response->status == status_ran) {
+        return task_answer{.status = response->status, .body = response->body};
+    }
+    if (find_header(response, run_header) == run_not_run) {
+        return target_refused{.leaving = find_header(response, leaving_header) == leaving_true};
+    }
+    return failed_after_run(error_id::task_failed,
+                            "the target answered " + std::to_string(response->status));
+}
+
+exchange_outcome decode_failure(http_failure reason)
+{
+    switch (reason) {
+    case http_failure::not_sent:
+        return not_sent{};
+    case http_failure::connection_lost:
+        return connection_lost{};
+    case http_failure::no_answer:
+        return no_answer{};
+    case http_failure::answer_too_large:
+        return failed_after_run(error_id::message_too_large,
+                                "the target's answer is longer than the limit");
+    case http_failure::answer_malformed:
+        break;
+    }
+    return failed_after_run(error_id::malformed_message,
+                            "the target's answer does not tell its length");
+}
+
+} // namespace
+
+http_request encode_exchange(const start_exchange& requested, time_point now)
+{
+    http_request_fields fields{.server = requested.address,
+                               .path = "/v1/run/" + requested.work->service.text(),
+                               .body = requested.work->body,
+                               .deadline = requested.deadline};
+    fields.headers.push_back(
+        {.name = exchange_header, .value = std::to_string(requested.exchange.value())});
+    if (requested.deadline != no_deadline) {
+        fields.headers.push_back(
+            {.name = deadline_header, .value = remaining_milliseconds(requested.deadline, now)});
+    }
+    return {std::move(fields)};
+}
+
+exchange_outcome decode_exchange(const http_outcome& outcome)
+{
+    const auto* response = std::get_if<http_response>(&outcome);
+    return response != nullptr ? decode_response(*response)
+                               : decode_failure(std::get<http_failure>(outcome));
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/targets/target_thread.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "papayafall/core/engine/mailbox.hpp"
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/platform/http/http_client.hpp"
+#include "target_metrics.hpp"
+
+#include <QObject>
+#include <QThread>
+
+namespace papayafall::detail {
+
+/// The part of a traffic thread that lives on it: turns actions into HTTP requests and their ends
+/// into events.
+class target_worker : public QObject, public http_observer {
+  public:
+    target_worker(const http_client_options& options, event_sink& events, target_metrics& metrics);
+
+    void handle(const action& requested);
+
+    void on_finished(http_call_id call, const http_outcome& outcome) override;
+
+  private:
+    void start(const start_exchange& requested);
+
+    event_sink* events_;
+    target_metrics* metrics_;
+    http_client client_;
+    http_client_counters reported_;
+};
+
+/// A traffic thread with an event loop and a mailbox.
+class target_thread {
+  public:
+    target_thread(const http_client_options& options, event_sink& events, target_metrics& metrics);
+    target_thread(const target_thread&) = delete;
+    target_thread& operator=(const target_thread&) = delete;
+    ~target_thread();
+
+    /// Callable from any thread.
+    void post(action requested) { actions_.post(std::move(requested)); }
+
+  private:
+    void drain();
+
+    QThread thread_;
+    QObject context_; ///< lives on the thread
+    std::unique_ptr<target_worker> worker_;
+    mailbox<action> actions_;
+};
+
+} // namespace papayafall::detail
--- /dev/null
+++ b/packages/platform/tests/http/unit-http-client.cpp
@@ -0,0 +1,302 @@
+#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/http/steady_now.hpp"
+#include "support/event_loop.hpp"
+#include "support/scripted_server.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+using namespace papayafall;
+using namespace std::chrono_literals;
+
+namespace {
+
+class outcome_recorder : public http_observer {
+  public:
+    void on_finished(http_call_id call, const http_outcome& outcome) override
+    {
+        outcomes.emplace(call.value(), outcome);
+    }
+
+    std::map<std::uint64_t, http_outcome> outcomes;
+};
+
+class http_client_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(http_client_test);
+    CPPUNIT_TEST(post_carries_body_and_headers);
+    CPPUNIT_TEST(server_that_closes_gets_a_post_once);
+    CPPUNIT_TEST(server_that_closes_a_reused_connection_gets_a_post_once);
+    CPPUNIT_TEST(empty_post_is_sent_once);
+    CPPUNIT_TEST(refused_connection_is_not_sent);
+    CPPUNIT_TEST(twenty_requests_run_at_once);
+    CPPUNIT_TEST(requests_in_turn_share_a_connection);
+    CPPUNIT_TEST(connection_idle_for_long_is_not_used);
+    CPPUNIT_TEST(unused_connections_are_closed);
+    CPPUNIT_TEST(no_answer_renews_every_connection_to_the_server);
+    CPPUNIT_TEST(abandoned_request_closes_its_connection);
+    CPPUNIT_TEST(long_answer_is_refused);
+    CPPUNIT_TEST(long_chunked_answer_is_refused);
+    CPPUNIT_TEST(redirect_is_not_followed);
+    CPPUNIT_TEST(truncated_answers_are_not_whole);
+    CPPUNIT_TEST(undelimited_answer_is_malformed);
+    CPPUNIT_TEST(error_statuses_are_responses);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override
+    {
+        ensure_application();
+        server_ = std::make_unique<scripted_server>();
+        recorder_ = std::make_unique<outcome_recorder>();
+        make_client({});
+    }
+
+    void tearDown() override
+    {
+        client_.reset();
+        server_.reset();
+    }
+
+    void post_carries_body_and_headers()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            scripted_server::answer(it, "yes");
+        };
+        const http_outcome outcome = post_and_wait("task");
+
+        CPPUNIT_ASSERT_EQUAL(std::string("yes"),
+                             std::string(std::get<http_response>(outcome)->body.view()));
+        const scripted_request& seen = server_->requests.at(0);
+        CPPUNIT_ASSERT(seen.body == "task");
+        CPPUNIT_ASSERT(seen.head.startsWith("POST /v1/run/quote HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(seen.head.contains("Papayafall-Exchange: 7\r\n"));
+        CPPUNIT_ASSERT(!seen.head.contains("gzip"));
+    }
+
+    void server_that_closes_gets_a_post_once()
+    {
+        server_->on_request = [](const scripted_request& it) { it.socket->abort(); };
+        expect_failure(http_failure::connection_lost, post_and_wait("task"));
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests.size());
+    }
+
+    void server_that_closes_a_reused_connection_gets_a_post_once()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            if (it.body == "first") {
+                scripted_server::answer(it);
+                return;
+            }
+            it.socket->disconnectFromHost();
+        };
+        post_and_wait("first");
+        expect_failure(http_failure::connection_lost, post_and_wait("second"));
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->requests.size());
+        CPPUNIT_ASSERT_EQUAL(1, server_->connections);
+    }
+
+    void empty_post_is_sent_once()
+    {
+        server_->on_request = [](const scripted_request& it) { it.socket->abort(); };
+        expect_failure(http_failure::connection_lost, post_and_wait(""));
+        settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests.size());
+    }
+
+    void refused_connection_is_not_sent()
+    {
+        const std::uint16_t port = server_->serverPort();
+        server_->close();
+        expect_failure(http_failure::not_sent, post_and_wait("task", 10s, port));
+        expect_failure(http_failure::not_sent, post_and_wait("", 10s, port));
+    }
+
+    void twenty_requests_run_at_once()
+    {
+        constexpr std::uint64_t count = 20;
+        for (std::uint64_t n = 0; n < count; ++n) {
+            post("task", 10s);
+        }
+        CPPUNIT_ASSERT(run_until([&] { return server_->requests.size() == count; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{count}, client_->in_progress());
+        for (const scripted_request& it : server_->requests) {
+            scripted_server::answer(it);
+        }
+        CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.size() == count; }));
+    }
+
+    void requests_in_turn_share_a_connection()
+    {
+        server_->on_request = [](const scripted_request& it) { scripted_server::answer(it); };
+        for (int n = 0; n < 10; ++n) {
+            post_and_wait("task");
+        }
+        CPPUNIT_ASSERT_EQUAL(1, server_->connections);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client_->counters().connections_opened);
+    }
+
+    void connection_idle_for_long_is_not_used()
+    {
+        make_client({.idle_limit = 1ms});
+        server_->on_request = [](const scripted_request& it) { scripted_server::answer(it); };
+        post_and_wait("task");
+        settle();
+        post_and_wait("task");
+        CPPUNIT_ASSERT_EQUAL(2, server_->connections);
+    }
+
+    void unused_connections_are_closed()
+    {
+        make_client({.idle_limit = 1ms});
+        server_->on_request = [](const scripted_request& it) { scripted_server::answer(it); };
+        post_and_wait("task");
+        CPPUNIT_ASSERT(run_until([&] { return server_->closed == 1; }));
+    }
+
+    void no_answer_renews_every_connection_to_the_server()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            if (it.connection > 2 || it.body == "first") {
+                scripted_server::answer(it);
+            }
+        };
+        post("first", 10s);
+        post("first", 10s);
+        CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.size() == 2; }));
+        expect_failure(http_failure::no_answer, post_and_wait("second", 50ms));
+        const http_outcome outcome = post_and_wait("third");
+
+        CPPUNIT_ASSERT(std::holds_alternative<http_response>(outcome));
+        CPPUNIT_ASSERT_EQUAL(3, server_->connections);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client_->counters().connections_renewed);
+    }
+
+    void abandoned_request_closes_its_connection()
+    {
+        const http_call_id call = post("task", 10s);
+        CPPUNIT_ASSERT(run_until([&] { return server_->requests.size() == 1; }));
+        client_->abandon(call);
+        client_->abandon(call);
+        expect_failure(http_failure::connection_lost, recorder_->outcomes.at(call.value()));
+        CPPUNIT_ASSERT(run_until([&] { return server_->closed == 1; }));
+    }
+
+    void long_answer_is_refused()
+    {
+        make_client({.largest_answer = 10});
+        server_->on_request = [](const scripted_request& it) {
+            scripted_server::answer(it, QByteArray(it.body == "fits" ? 10 : 11, 'x'));
+        };
+        CPPUNIT_ASSERT(std::holds_alternative<http_response>(post_and_wait("fits")));
+        expect_failure(http_failure::answer_too_large, post_and_wait("over"));
+    }
+
+    void long_chunked_answer_is_refused()
+    {
+        make_client({.largest_answer = 10});
+        server_->on_request = [](const scripted_request& it) {
+            it.socket->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "b\r\nxxxxxxxxxxx\r\n");
+        };
+        expect_failure(http_failure::answer_too_large, post_and_wait("task"));
+    }
+
+    void redirect_is_not_followed()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            it.socket->write("HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\n"
+                             "Content-Length: 0\r\n\r\n");
+        };
+        const http_outcome outcome = post_and_wait("task");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{307}, std::get<http_response>(outcome)->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests.size());
+    }
+
+    void truncated_answers_are_not_whole()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            const bool chunked = it.body == "chunked";
+            it.socket->write(chunked
+                                 ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
+                                 : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+            it.socket->disconnectFromHost();
+        };
+        expect_failure(http_failure::connection_lost, post_and_wait("sized"));
+        expect_failure(http_failure::connection_lost, post_and_wait("chunked"));
+    }
+
+    void undelimited_answer_is_malformed()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            it.socket->write("HTTP/1.1 200 OK\r\n\r\nab");
+            it.socket->disconnectFromHost();
+        };
+        expect_failure(http_failure::answer_malformed, post_and_wait("task"));
+    }
+
+    void error_statuses_are_responses()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            it.socket->write("HTTP/1.1 " + it.body + " Some\r\nContent-Length: 2\r\n\r\nno");
+        };
+        for (const char* it :
+             {"204", "400", "401", "403", "404", "409", "418", "429", "500", "503"}) {
+            const http_outcome outcome = post_and_wait(it);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::string(it),
+                                         std::to_string(std::get<http_response>(outcome)->status));
+        }
+    }
+
+  private:
+    void make_client(const http_client_options& options)
+    {
+        client_ = std::make_unique<http_client>(options, *recorder_);
+    }
+
+    http_call_id post(const std::string& body, duration time_limit,
+                      std::optional<std::uint16_t> port = {})
+    {
+        last_ = last_.next();
+        client_->post(last_, http_request(http_request_fields{
+                                 .server = {.address = "127.0.0.1",
+                                            .port = port.value_or(server_->serverPort())},
+                                 .path = "/v1/run/quote",
+                                 .headers = {{.name = "Papayafall-Exchange", .value = "7"}},
+                                 .body = bytes(body),
+                                 .deadline = steady_now() + time_limit}));
+        return last_;
+    }
+
+    http_outcome post_and_wait(const std::string& body, duration time_limit = 10s,
+                               std::optional<std::uint16_t> port = {})
+    {
+        const http_call_id call = post(body, time_limit, port);
+        CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.contains(call.value()); }));
+        return recorder_->outcomes.at(call.value());
+    }
+
+    /// Leaves time for a request that should not come.
+    static void settle()
+    {
+        run_until([] { return false; }, 50ms);
+    }
+
+    static void expect_failure(http_failure expected, const http_outcome& outcome)
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<http_failure>(outcome));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected),
+                             static_cast<int>(std::get<http_failure>(outcome)));
+    }
+
+    std::unique_ptr<scripted_server> server_;
+    std::unique_ptr<outcome_recorder> recorder_;
+    std::unique_ptr<http_client> client_;
+    http_call_id last_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
+
+} // namespace
