Set down the interfaces of the policy under load

The blackboard gets the sections that they read: run times, usage of limits, the index of targets by load, the backlog by class, the retry budget and delegations. Headers only so far: nothing implements them yet.

--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -5,11 +5,17 @@
 #include "papayafall/core/blackboard/table.hpp"
 #include "papayafall/core/messages/action.hpp"
 #include "papayafall/core/messages/event.hpp"
+#include "papayafall/core/state/backlog.hpp"
+#include "papayafall/core/state/delegation_state.hpp"
 #include "papayafall/core/state/queue_state.hpp"
+#include "papayafall/core/state/retry_budget.hpp"
+#include "papayafall/core/state/run_time_estimate.hpp"
 #include "papayafall/core/state/seat_state.hpp"
 #include "papayafall/core/state/self_state.hpp"
 #include "papayafall/core/state/submission_state.hpp"
+#include "papayafall/core/state/target_index.hpp"
 #include "papayafall/core/state/target_state.hpp"
+#include "papayafall/core/state/usage.hpp"
 
 namespace papayafall {
 
@@ -34,7 +40,18 @@
     table<seat_id, seat_state> seats;
 
     // written by target_controller
-    table<target_name, target_state> targets;
+    table<target_name, target_state> targets; ///< of this host's zone
+    cell<zone_health> health;
+    cell<target_division> division;
+
+    // written by estimate_controller
+    table<service_name, run_time_estimate> run_times;
+
+    // written by limit_controller
+    table<service_name, service_usage> service_usages;
+    table<team_name, team_usage> team_usages;
+    table<submission_id, open_submission> open_submissions;
+    cell<duration> latest_virtual_start; ///< of all teams
 
     // written by submission_controller
     table<submission_id, submission_state> submissions;
@@ -50,6 +67,14 @@
     table<exchange_id, exchange_state> exchanges;
     table<work_owner, exchange_id> running;
     table<target_name, slot_usage> slots;
+    cell<backlog> waiting; ///< sums over `queue`
+    cell<retry_budget> retries;
+    table<peer_id, delegation_state> delegations;
+
+    // written by scheduling_controller through a target_index_writer
+    table<target_rank, target_name> targets_by_load; ///< owned targets that may get work
+    table<target_name, indexed_target> target_ranks; ///< the same targets by name
+    cell<slot_totals> totals;
 
     // appended to by every controller, drained by the engine
     message_queue<event> raised;
--- /dev/null
+++ b/packages/core/include/papayafall/core/controllers/estimate_controller.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "papayafall/core/blackboard/blackboard.hpp"
+#include "papayafall/core/controllers/controller.hpp"
+
+namespace papayafall {
+
+/// Learns the run times of each service from the exchanges that end at targets of this host.
+/// Runs before the controller that erases finished exchanges.
+class estimate_controller final : public controller {
+  public:
+    explicit estimate_controller(blackboard& board);
+
+    std::string_view name() const noexcept override { return "estimate"; }
+
+    void on_event(blackboard& board, const event& incoming, const clock_reading& now) override;
+    void on_tick(blackboard& board, const clock_reading& now) override;
+
+  private:
+    table_writer<service_name, run_time_estimate> run_times_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/controllers/limit_controller.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "papayafall/core/blackboard/blackboard.hpp"
+#include "papayafall/core/controllers/controller.hpp"
+#include "papayafall/core/policies/run_time_estimator.hpp"
+
+#include <memory>
+
+namespace papayafall {
+
+/// Counts what services and teams use of their limits, quotas and budgets, and keeps the virtual
+/// time of each team. Runs before the controller that queues accepted work.
+class limit_controller final : public controller {
+  public:
+    limit_controller(blackboard& board, std::shared_ptr<const run_time_estimator> run_times);
+
+    std::string_view name() const noexcept override { return "limit"; }
+
+    void on_event(blackboard& board, const event& incoming, const clock_reading& now) override;
+    void on_tick(blackboard& board, const clock_reading& now) override;
+
+  private:
+    void accept(const blackboard& board, const submission_accepted& incoming,
+                const clock_reading& now);
+    void accept(const blackboard& board, const delegation_received& incoming);
+    void finish(const blackboard& board, const work_finished& incoming);
+    void close(const blackboard& board, const submission_closed& incoming);
+    void charge(const blackboard& board, const exchange_finished& incoming,
+                const clock_reading& now);
+    void advance(const blackboard& board, const team_name& team, duration work, std::uint32_t tasks,
+                 const clock_reading& now);
+    void release(const blackboard& board, const service_name& service, const team_name& team,
+                 std::uint32_t tasks);
+
+    std::shared_ptr<const run_time_estimator> run_times_;
+    table_writer<service_name, service_usage> services_;
+    table_writer<team_name, team_usage> teams_;
+    table_writer<submission_id, open_submission> open_;
+    cell_writer<duration> latest_start_;
+};
+
+} // namespace papayafall
--- a/packages/core/include/papayafall/core/messages/event.hpp
+++ b/packages/core/include/papayafall/core/messages/event.hpp
@@ -125,12 +125,17 @@
     const task_result result;
 };
 
+/// The usable slots, the speed or the dispatcher of a target changed.
+struct target_changed {
+    const target_name target;
+};
+
 /// Everything that the core reacts to.
 using event =
     std::variant<request_received, call_closed, cancel_received, tickets_requested,
                  forward_received, forward_answered, forward_failed, delegation_received,
                  exchange_finished, heartbeat_received, host_list_received, configuration_received,
                  session_confirmed, session_lost, seat_granted, seat_refused, shutdown_requested,
-                 submission_accepted, submission_closed, work_finished>;
+                 submission_accepted, submission_closed, work_finished, target_changed>;
 
 } // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/state/backlog.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "papayafall/core/state/queue_state.hpp"
+#include "papayafall/core/values/request.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace papayafall {
+
+/// Number of lanes of the queue: short and long work.
+inline constexpr std::size_t lane_count = 2;
+/// Number of urgency levels.
+inline constexpr std::size_t urgency_count = 3;
+
+/// Tasks that wait in one class of the queue.
+struct class_backlog {
+    std::uint32_t tasks = 0;
+    /// Sum of the expected run times.
+    duration work{};
+
+    auto operator<=>(const class_backlog&) const = default;
+};
+
+/// Sums over the queue by lane and urgency.
+class backlog {
+  public:
+    /// Returns the backlog with `work` added at `rank`.
+    backlog with_added(const queue_rank& rank, const queued_work& work) const;
+
+    /// Returns the backlog without `work`, which was added at `rank`.
+    backlog with_removed(const queue_rank& rank, const queued_work& work) const;
+
+    /// Run time that waits in `lane` at `urgency` or before it.
+    duration work_ahead(std::uint8_t lane, std::uint8_t urgency) const;
+
+    /// Tasks that wait in `lane`.
+    std::uint32_t tasks(std::uint8_t lane) const;
+
+    friend auto operator<=>(const backlog&, const backlog&) = default;
+
+  private:
+    static std::size_t class_of(const queue_rank& rank);
+
+    std::array<class_backlog, lane_count * urgency_count> classes_{};
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/state/target_index.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "papayafall/core/state/queue_state.hpp"
+#include "papayafall/core/values/identifiers.hpp"
+
+#include <cstdint>
+
+namespace papayafall {
+
+/// Position of an owned target that may get work; the lowest is the first choice.
+struct target_rank {
+    bool full = false;
+    /// Load after one more start, in thousandths of the usable slots, scaled by the speed.
+    std::uint32_t load = 0;
+    /// Spreads equally loaded targets differently on each host.
+    std::uint64_t tie = 0;
+    target_name target;
+
+    auto operator<=>(const target_rank&) const = default;
+};
+
+/// What the index holds about one target.
+struct indexed_target {
+    target_rank rank;
+    std::uint32_t usable = 0;
+    slot_usage used;
+
+    bool full() const noexcept { return used.total() >= usable; }
+
+    auto operator<=>(const indexed_target&) const = default;
+};
+
+/// Sums over the owned targets that may get work.
+struct slot_totals {
+    std::uint32_t usable = 0;
+    std::uint32_t short_running = 0;
+    std::uint32_t long_running = 0;
+    /// Free slots, those of overfull targets not subtracted.
+    std::uint32_t free = 0;
+    /// Number of starts so far, and the target of the last one.
+    std::uint64_t starts = 0;
+    target_name last_started;
+
+    auto operator<=>(const slot_totals&) const = default;
+};
+
+} // namespace papayafall
--- a/packages/core/include/papayafall/core/state/target_state.hpp
+++ b/packages/core/include/papayafall/core/state/target_state.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/values/value.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace papayafall {
 
@@ -28,8 +29,15 @@
     std::uint32_t consecutive_failures = 0;
     /// Number of ejections in a row; each doubles the time until the next probe.
     std::uint32_t ejections = 0;
+    /// Recent outcomes: both are halved when their sum reaches a bound.
     std::uint64_t successes = 0;
     std::uint64_t failures = 0;
+    /// Recent run time against what was expected, in thousandths.
+    std::uint32_t relative_run_time = 1000;
+    /// The target itself told this host that it is leaving; peers are told so by heartbeat.
+    bool announced_leaving = false;
+    /// Whether the last host list that was believed names the target.
+    bool listed = true;
 
     auto operator<=>(const target_state_fields&) const = default;
 };
@@ -37,4 +45,25 @@
 /// A target as this host judges it.
 using target_state = value<target_state_fields>;
 
+/// Recent outcomes over all targets that this host dispatches to.
+struct zone_health {
+    std::uint64_t successes = 0;
+    std::uint64_t failures = 0;
+    std::uint32_t owned = 0;   ///< targets that this host dispatches to
+    std::uint32_t ejected = 0; ///< of these, those ejected or probing
+
+    auto operator<=>(const zone_health&) const = default;
+};
+
+/// How the targets of the zone are divided among its live entry hosts.
+struct target_division {
+    std::vector<host_name> hosts; ///< in the order of their names
+    /// Instant from which the hosts are looked through again.
+    time_point next_check{};
+    /// Host lists in a row that were not believed.
+    std::uint32_t doubtful_lists = 0;
+
+    auto operator<=>(const target_division&) const = default;
+};
+
 } // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/state/usage.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "papayafall/core/values/identifiers.hpp"
+#include "papayafall/core/values/time.hpp"
+
+#include <cstdint>
+
+namespace papayafall {
+
+/// Tokens for a limited rate: refilled with time, taken by each task.
+struct rate_bucket {
+    /// Thousandths of a task that may still start.
+    std::int64_t tokens = 0;
+    time_point refilled_at{};
+
+    auto operator<=>(const rate_bucket&) const = default;
+};
+
+/// What this host has accepted for one service.
+struct service_usage {
+    std::uint32_t open_tasks = 0; ///< accepted and not finished
+    rate_bucket rate;
+    std::uint64_t spent = 0; ///< in the present budget window, in millionths
+    time_point window_end{};
+
+    auto operator<=>(const service_usage&) const = default;
+};
+
+/// What this host has accepted for one team.
+struct team_usage {
+    std::uint32_t open_tasks = 0; ///< accepted and not finished
+    rate_bucket rate;
+    /// Virtual time at which the work accepted last starts: slot time over quota.
+    duration virtual_start{};
+    /// Virtual time at which the work accepted last ends.
+    duration virtual_finish{};
+
+    auto operator<=>(const team_usage&) const = default;
+};
+
+/// Accepted tasks of one submission that have not finished.
+struct open_submission {
+    service_name service;
+    team_name team;
+    std::uint32_t tasks = 0;
+
+    auto operator<=>(const open_submission&) const = default;
+};
+
+} // namespace papayafall
