Add the controllers of lifecycle, membership, configuration, seats, submissions and scheduling

A submission has one home. Tickets name it, callers' own keys find it by seat, and only the home starts anything. A key whose home is gone is answered with an unknown outcome, not with "not run": an earlier submission may have run there. The engine settles raised events after each controller's tick, so that a submission closed at its deadline leaves the queue before anything is started.

--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -6,6 +6,8 @@
 #include "papayafall/core/messages/action.hpp"
 #include "papayafall/core/messages/event.hpp"
 #include "papayafall/core/state/backlog.hpp"
+#include "papayafall/core/state/core_parameters.hpp"
+#include "papayafall/core/state/counters.hpp"
 #include "papayafall/core/state/delegation_state.hpp"
 #include "papayafall/core/state/queue_state.hpp"
 #include "papayafall/core/state/retry_budget.hpp"
@@ -25,15 +27,30 @@
 /// reads every section. The blackboard belongs to the control thread alone.
 class blackboard {
   public:
-    explicit blackboard(const self_state& identity) : self(identity) {}
+    blackboard(const self_state& identity, core_parameters settings)
+        : parameters(std::move(settings)), self(identity)
+    {
+    }
 
-    // written by membership_controller
+    const core_parameters parameters;
+
+    // written by lifecycle_controller
     cell<self_state> self;
+    cell<bool> stopped; ///< `stop_process` was posted
+
+    // written by membership_controller
     table<host_name, host_state> hosts;
     cell<host_list_snapshot> host_list;
+    cell<heartbeat> own_heartbeat; ///< the last one sent
+    cell<time_point> heartbeat_due;
 
     // written by configuration_controller
     cell<configuration> current_configuration;
+    cell<bool> watching;
+    cell<time_point> fetch_due;
+
+    // written by status_controller
+    cell<time_point> status_due;
 
     // written by seat_controller
     cell<time_point> session_lease; ///< instant at which the platform session may lapse
@@ -54,6 +71,8 @@
     cell<duration> latest_virtual_start; ///< of all teams
 
     // written by submission_controller
+    cell<submission_numbers> submission_counters;
+    table<std::uint64_t, time_point> ticket_marks; ///< last ticket of each issue, until it expires
     table<submission_id, submission_state> submissions;
     table<request_key, submission_id> keys;
     table<call_id, submission_id> calls;
@@ -62,12 +81,14 @@
     table<correlation_id, forward_state> forwards;
 
     // written by scheduling_controller
+    cell<scheduling_numbers> scheduling_counters;
     table<queue_rank, queued_work> queue;
     table<work_owner, queue_rank> queued;
     table<exchange_id, exchange_state> exchanges;
     table<work_owner, exchange_id> running;
     table<target_name, slot_usage> slots;
-    cell<backlog> waiting; ///< sums over `queue`
+    table<exchange_id, time_point> overrun_checks; ///< instant from which each counts as long
+    cell<backlog> waiting;                         ///< sums over `queue`
     cell<retry_budget> retries;
     table<peer_id, delegation_state> delegations;
 
--- a/packages/core/include/papayafall/core/engine/engine.hpp
+++ b/packages/core/include/papayafall/core/engine/engine.hpp
@@ -38,6 +38,8 @@
 
   private:
     void process(const event& incoming, const clock_reading& now);
+    /// Handles the events that controllers raised, until none is left.
+    void settle(const clock_reading& now);
 
     std::unique_ptr<blackboard> board_;
     std::vector<std::unique_ptr<controller>> controllers_;
--- a/packages/core/include/papayafall/core/state/queue_state.hpp
+++ b/packages/core/include/papayafall/core/state/queue_state.hpp
@@ -24,6 +24,8 @@
     work_owner owner;
     work_item work;
     std::uint32_t attempts = 0;
+    /// An earlier attempt may have run the task.
+    bool uncertain = false;
     /// Run time that was expected when the work was queued.
     duration expected_run_time{};
 
@@ -41,6 +43,7 @@
     work_item work;
     exchange_place place;
     std::uint32_t attempts = 0; ///< including this one
+    bool uncertain = false;     ///< an earlier attempt may have run the task
     time_point started_at{};
     duration expected_run_time{};
     /// Counts against the share of long work.
--- a/packages/core/include/papayafall/core/state/self_state.hpp
+++ b/packages/core/include/papayafall/core/state/self_state.hpp
@@ -11,8 +11,10 @@
     incarnation_id incarnation;
     endpoint link;
     endpoint datagrams;
-    /// Set once the process was asked to end; new requests are refused from then on.
+    /// Set once the process was asked to end.
     bool leaving = false;
+    /// When `leaving`: instant from which new requests are refused.
+    time_point refuse_from = no_deadline;
     /// When `leaving`: instant at which the process stops, whatever is in progress.
     time_point stop_at = no_deadline;
 
--- a/packages/core/include/papayafall/core/state/submission_state.hpp
+++ b/packages/core/include/papayafall/core/state/submission_state.hpp
@@ -19,6 +19,7 @@
     std::uint32_t unfinished = 0;       ///< tasks without a result
     bool closed = false;                ///< answered; the record stays for resubmissions
     run_state run = run_state::not_run; ///< once closed: what is known about the work
+    time_point deadline = no_deadline;
     std::vector<request_origin> waiters;
 
     auto operator<=>(const submission_state_fields&) const = default;
@@ -30,7 +31,8 @@
 struct forward_state_fields {
     request_origin origin;
     peer_id home;
-    std::optional<request_key> key;
+    request content;
+    std::uint32_t attempts = 1;
 
     auto operator<=>(const forward_state_fields&) const = default;
 };
--- /dev/null
+++ b/packages/core/src/controllers/configuration_controller.cpp
@@ -0,0 +1,54 @@
+#include "papayafall/core/controllers/configuration_controller.hpp"
+
+#include "papayafall/core/membership/live_hosts.hpp"
+
+namespace papayafall {
+
+configuration_controller::configuration_controller(blackboard& board)
+    : current_(board.current_configuration.claim()), watching_(board.watching.claim()),
+      fetch_due_(board.fetch_due.claim())
+{
+}
+
+void configuration_controller::on_event(blackboard& board, const event& incoming,
+                                        const clock_reading& now)
+{
+    if (const auto* it = std::get_if<configuration_received>(&incoming)) {
+        receive(board, it->content);
+    } else if (const auto* heard = std::get_if<heartbeat_received>(&incoming)) {
+        fetch(board, heard->beat, now.steady);
+    }
+}
+
+void configuration_controller::on_tick(blackboard& board, const clock_reading& now)
+{
+    const std::vector<host_name> names = live_zone_hosts(board, now.steady);
+    const bool elected = !names.empty() && names.front() == board.self.get()->host;
+    if (elected == board.watching.get()) {
+        return;
+    }
+    watching_.put(elected);
+    board.outbox.post(watch_configuration{elected});
+}
+
+void configuration_controller::receive(blackboard& board, const configuration& content)
+{
+    if (content->revision <= board.current_configuration.get()->revision) {
+        return;
+    }
+    current_.put(content);
+    board.outbox.post(configuration_applied{content});
+}
+
+void configuration_controller::fetch(blackboard& board, const heartbeat& beat, time_point now)
+{
+    if (beat->revision <= board.current_configuration.get()->revision ||
+        now < board.fetch_due.get()) {
+        return;
+    }
+    fetch_due_.put(now + board.parameters->fetch_period);
+    board.outbox.post(fetch_configuration{
+        .peer = {.host = beat->host, .incarnation = beat->incarnation}, .link = beat->link});
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/controllers/lifecycle_controller.cpp
@@ -0,0 +1,50 @@
+#include "papayafall/core/controllers/lifecycle_controller.hpp"
+
+#include <algorithm>
+
+namespace papayafall {
+
+namespace {
+
+bool idle(const blackboard& board)
+{
+    return board.calls.empty() && board.forwards.empty() && board.exchanges.empty() &&
+           board.queue.empty();
+}
+
+} // namespace
+
+lifecycle_controller::lifecycle_controller(blackboard& board)
+    : self_(board.self.claim()), stopped_(board.stopped.claim())
+{
+}
+
+void lifecycle_controller::on_event(blackboard& board, const event& incoming,
+                                    const clock_reading& now)
+{
+    const auto* asked = std::get_if<shutdown_requested>(&incoming);
+    if (asked == nullptr || board.self.get()->leaving) {
+        return;
+    }
+    const time_point refuse_from =
+        std::min(asked->deadline, now.steady + board.parameters->drain_period);
+    self_.put(board.self.get().with([&](self_state_fields& it) {
+        it.leaving = true;
+        it.refuse_from = refuse_from;
+        it.stop_at = asked->deadline;
+    }));
+}
+
+void lifecycle_controller::on_tick(blackboard& board, const clock_reading& now)
+{
+    const self_state& self = board.self.get();
+    if (!self->leaving || board.stopped.get() || now.steady < self->refuse_from) {
+        return;
+    }
+    if (idle(board) || now.steady >= self->stop_at) {
+        stopped_.put(true);
+        board.outbox.post(stop_process{});
+    }
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -0,0 +1,385 @@
+#include "papayafall/core/controllers/scheduling_controller.hpp"
+
+#include "papayafall/core/membership/live_hosts.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+/// Whether the task certainly did not run in an attempt that ended this way.
+bool certainly_not_run(const exchange_outcome& outcome)
+{
+    if (const auto* reason = std::get_if<failure>(&outcome)) {
+        return reason->run == run_state::not_run;
+    }
+    return std::holds_alternative<target_refused>(outcome) ||
+           std::holds_alternative<not_sent>(outcome);
+}
+
+/// The failure to report for a task that is not tried again.
+failure failure_of(const exchange_outcome& outcome, bool uncertain)
+{
+    failure reason{.id = error_id::outcome_unknown,
+                   .run = run_state::unknown,
+                   .detail = "the connection to the target was lost or stayed silent"};
+    if (const auto* reported = std::get_if<failure>(&outcome)) {
+        reason = *reported;
+    } else if (std::holds_alternative<target_refused>(outcome)) {
+        reason = failure{.id = error_id::overloaded, .detail = "the targets refused the task"};
+    } else if (std::holds_alternative<not_sent>(outcome)) {
+        reason = failure{.id = error_id::no_target, .detail = "no target could be reached"};
+    }
+    if (uncertain && reason.run == run_state::not_run) {
+        reason.run = run_state::unknown;
+    }
+    return reason;
+}
+
+failure expired(bool uncertain)
+{
+    return failure{.id = error_id::deadline_passed,
+                   .run = uncertain ? run_state::unknown : run_state::not_run,
+                   .detail = "the deadline passed before the task could start"};
+}
+
+bool is_idempotent(const configuration& current, const service_name& service)
+{
+    const auto it = current->services.find(service);
+    return it != current->services.end() && it->second.idempotent;
+}
+
+work_item work_of(const blackboard& board, const request& content, const task& part)
+{
+    const bool idempotent = is_idempotent(board.current_configuration.get(), content->service);
+    return work_item_fields{
+        .service = content->service,
+        .team = content->team,
+        .urgency = content->urgency,
+        .idempotent = idempotent,
+        .body = part.body,
+        .declared_run_time = part.declared_run_time,
+        .deadline = content->deadline,
+        .retryable = idempotent && content->tasks.size() == 1,
+    };
+}
+
+time_point with_grace(time_point deadline, duration grace)
+{
+    return deadline > no_deadline - grace ? no_deadline : deadline + grace;
+}
+
+} // namespace
+
+scheduling_controller::scheduling_controller(blackboard& board, scheduling_policies policies)
+    : policies_(std::move(policies)), numbers_(board.scheduling_counters.claim()),
+      queue_(board.queue.claim()), queued_(board.queued.claim()),
+      exchanges_(board.exchanges.claim()), running_(board.running.claim()),
+      slots_(board.slots.claim()), waiting_(board.waiting.claim()), retries_(board.retries.claim()),
+      delegations_(board.delegations.claim()), overrun_checks_(board.overrun_checks.claim()),
+      index_(board)
+{
+}
+
+void scheduling_controller::on_event(blackboard& board, const event& incoming,
+                                     const clock_reading& now)
+{
+    if (const auto* accepted = std::get_if<submission_accepted>(&incoming)) {
+        accept(board, *accepted, now);
+    } else if (const auto* delegated = std::get_if<delegation_received>(&incoming)) {
+        accept_delegated(board, *delegated, now);
+    } else if (const auto* finished = std::get_if<exchange_finished>(&incoming)) {
+        finish(board, *finished, now);
+    } else if (const auto* closed = std::get_if<submission_closed>(&incoming)) {
+        drop(board, closed->submission);
+    } else if (const auto* changed = std::get_if<target_changed>(&incoming)) {
+        index_.refresh(board, changed->target);
+    } else if (const auto* heard = std::get_if<heartbeat_received>(&incoming)) {
+        delegations_.erase(
+            peer_id{.host = heard->beat->host, .incarnation = heard->beat->incarnation});
+    }
+}
+
+void scheduling_controller::on_tick(blackboard& board, const clock_reading& now)
+{
+    expire(board, now);
+    mark_overrun(board, now.steady);
+    start_waiting(board, now);
+}
+
+// Arrivals
+
+void scheduling_controller::accept(blackboard& board, const submission_accepted& accepted,
+                                   const clock_reading& now)
+{
+    std::uint32_t index = 0;
+    for (const task& it : accepted.content->tasks) {
+        const work_item work = work_of(board, accepted.content, it);
+        push(board,
+             queued_work_fields{
+                 .owner = home_owner{.submission = accepted.submission, .index = index},
+                 .work = work,
+                 .expected_run_time = policies_.run_times->expected(work, board),
+             },
+             now);
+        ++index;
+    }
+}
+
+void scheduling_controller::accept_delegated(blackboard& board,
+                                             const delegation_received& delegated,
+                                             const clock_reading& now)
+{
+    const queued_work work(queued_work_fields{
+        .owner = delegated.owner,
+        .work = delegated.work,
+        .expected_run_time = policies_.run_times->expected(delegated.work, board),
+    });
+    if (board.running.contains(work->owner)) {
+        return;
+    }
+    const auto target = policies_.slots->may_start(work, board, now)
+                            ? policies_.targets->select(work->work, board, now)
+                            : std::nullopt;
+    if (target) {
+        start_at_target(board, work, *target, now);
+        return;
+    }
+    report(board, work->owner,
+           failure{.id = error_id::overloaded, .detail = "the peer has no free slot"});
+}
+
+void scheduling_controller::drop(blackboard& board, submission_id submission)
+{
+    const work_owner first = home_owner{.submission = submission};
+    const work_owner past = home_owner{.submission = submission.next()};
+    for (auto it = board.queued.lower_bound(first); it != board.queued.end() && it->key < past;) {
+        const queue_rank rank = it->value;
+        ++it;
+        remove(board, rank);
+    }
+    std::vector<exchange_id> abandoned;
+    for (auto it = board.running.lower_bound(first); it != board.running.end() && it->key < past;
+         ++it) {
+        abandoned.push_back(it->value);
+    }
+    for (const exchange_id it : abandoned) {
+        const exchange_state state = *board.exchanges.find(it);
+        exchanges_.put(it,
+                       state.with([](exchange_state_fields& fields) { fields.abandoned = true; }),
+                       with_grace(state->work->deadline, board.parameters->exchange_grace));
+    }
+}
+
+// Results
+
+void scheduling_controller::finish(blackboard& board, const exchange_finished& finished,
+                                   const clock_reading& now)
+{
+    const exchange_state* found = board.exchanges.find(finished.exchange);
+    if (found == nullptr) {
+        return;
+    }
+    const exchange_state ended = *found;
+    exchanges_.erase(finished.exchange);
+    running_.erase(ended->owner);
+    overrun_checks_.erase(finished.exchange);
+    occupy(board, ended, -1);
+    if (ended->abandoned) {
+        return;
+    }
+    if (const auto* result = std::get_if<task_answer>(&finished.outcome)) {
+        report(board, ended->owner, *result);
+        return;
+    }
+    const bool uncertain = ended->uncertain || !certainly_not_run(finished.outcome);
+    const bool own = std::holds_alternative<home_owner>(ended->owner);
+    if (own && now.steady < ended->work->deadline &&
+        policies_.retries->may_retry(ended, finished.outcome, board, now)) {
+        retries_.put(board.retries.get().with_retry());
+        requeue(board, ended, uncertain, now);
+        return;
+    }
+    report(board, ended->owner, failure_of(finished.outcome, ended->uncertain));
+}
+
+void scheduling_controller::requeue(blackboard& board, const exchange_state& ended, bool uncertain,
+                                    const clock_reading& now)
+{
+    push(board,
+         queued_work_fields{
+             .owner = ended->owner,
+             .work = ended->work,
+             .attempts = ended->attempts,
+             .uncertain = uncertain,
+             .expected_run_time = ended->expected_run_time,
+         },
+         now);
+}
+
+void scheduling_controller::report(blackboard& board, const work_owner& owner,
+                                   const task_result& result)
+{
+    board.raised.post(work_finished{owner, result});
+    if (const auto* it = std::get_if<peer_owner>(&owner)) {
+        board.outbox.post(answer_delegation{*it, result});
+    }
+}
+
+// The queue
+
+void scheduling_controller::push(blackboard& board, const queued_work& work,
+                                 const clock_reading& now)
+{
+    scheduling_numbers numbers = board.scheduling_counters.get();
+    const queue_rank rank = policies_.order->rank(work, numbers.next_sequence++, board, now);
+    numbers_.put(numbers);
+    queue_.put(rank, work, work->work->deadline);
+    queued_.put(work->owner, rank);
+    waiting_.put(board.waiting.get().with_added(rank, work));
+}
+
+void scheduling_controller::remove(blackboard& board, const queue_rank& rank)
+{
+    const queued_work work = *board.queue.find(rank);
+    queue_.erase(rank);
+    queued_.erase(work->owner);
+    waiting_.put(board.waiting.get().with_removed(rank, work));
+}
+
+void scheduling_controller::expire(blackboard& board, const clock_reading& now)
+{
+    while (const auto rank = board.queue.expired(now.steady)) {
+        const queued_work work = *board.queue.find(*rank);
+        remove(board, *rank);
+        report(board, work->owner, expired(work->uncertain));
+    }
+    while (const auto exchange = board.exchanges.expired(now.steady)) {
+        finish(board, exchange_finished{*exchange, no_answer{}}, now);
+    }
+}
+
+void scheduling_controller::mark_overrun(blackboard& board, time_point now)
+{
+    while (const auto exchange = board.overrun_checks.expired(now)) {
+        overrun_checks_.erase(*exchange);
+        const exchange_state state = *board.exchanges.find(*exchange);
+        occupy(board, state, -1);
+        const exchange_state marked =
+            state.with([](exchange_state_fields& it) { it.long_running = true; });
+        exchanges_.put(*exchange, marked,
+                       with_grace(state->work->deadline, board.parameters->exchange_grace));
+        occupy(board, marked, 1);
+    }
+}
+
+// Starts
+
+void scheduling_controller::start_waiting(blackboard& board, const clock_reading& now)
+{
+    for (std::uint8_t lane = 0; lane < lane_count; ++lane) {
+        while (start_first(board, lane, now)) {
+        }
+    }
+}
+
+bool scheduling_controller::start_first(blackboard& board, std::uint8_t lane,
+                                        const clock_reading& now)
+{
+    const auto first =
+        board.queue.lower_bound(queue_rank{.lane = lane, .deadline = time_point::min()});
+    if (first == board.queue.end() || first->key.lane != lane) {
+        return false;
+    }
+    const queue_rank rank = first->key;
+    const queued_work work = first->value;
+    const auto target = policies_.slots->may_start(work, board, now)
+                            ? policies_.targets->select(work->work, board, now)
+                            : std::nullopt;
+    if (target) {
+        remove(board, rank);
+        start_at_target(board, work, *target, now);
+        return true;
+    }
+    const auto peer = policies_.overflow->select(work->work, board, now);
+    if (!peer) {
+        return false;
+    }
+    remove(board, rank);
+    start_at_peer(board, work, *peer, now);
+    return true;
+}
+
+void scheduling_controller::start_at_target(blackboard& board, const queued_work& work,
+                                            const target_name& target, const clock_reading& now)
+{
+    const exchange_id exchange = record(board, work, target, now);
+    const target_state& state = *board.targets.find(target);
+    board.outbox.post(
+        start_exchange{exchange, target, state->entry.address, work->work, work->work->deadline});
+}
+
+void scheduling_controller::start_at_peer(blackboard& board, const queued_work& work,
+                                          const peer_id& peer, const clock_reading& now)
+{
+    const exchange_id exchange = record(board, work, peer, now);
+    const host_state* state = board.hosts.find(peer.host);
+    const delegation_state* known = board.delegations.find(peer);
+    delegation_state delegated = known == nullptr ? delegation_state{} : *known;
+    delegated.heartbeat = (*state)->last->sequence;
+    delegated.tasks += 1;
+    delegations_.put(peer, delegated, (*state)->alive_until);
+    board.outbox.post(delegate_work{peer, (*state)->last->link, exchange, work->work});
+}
+
+exchange_id scheduling_controller::record(blackboard& board, const queued_work& work,
+                                          const exchange_place& place, const clock_reading& now)
+{
+    scheduling_numbers numbers = board.scheduling_counters.get();
+    const exchange_id exchange(numbers.next_exchange++);
+    numbers_.put(numbers);
+    if (work->attempts == 0) {
+        retries_.put(board.retries.get().with_first_attempt());
+    }
+    const time_point long_from = policies_.slots->long_from(work->expected_run_time, now.steady);
+    const exchange_state state(exchange_state_fields{
+        .owner = work->owner,
+        .work = work->work,
+        .place = place,
+        .attempts = work->attempts + 1,
+        .uncertain = work->uncertain,
+        .started_at = now.steady,
+        .expected_run_time = work->expected_run_time,
+        .long_running = long_from <= now.steady,
+    });
+    exchanges_.put(exchange, state,
+                   with_grace(work->work->deadline, board.parameters->exchange_grace));
+    running_.put(work->owner, exchange);
+    if (!state->long_running && long_from != no_deadline) {
+        overrun_checks_.put(exchange, long_from, long_from);
+    }
+    occupy(board, state, 1);
+    return exchange;
+}
+
+void scheduling_controller::occupy(blackboard& board, const exchange_state& exchange, int change)
+{
+    const auto* target = std::get_if<target_name>(&exchange->place);
+    if (target == nullptr) {
+        return;
+    }
+    const slot_usage* known = board.slots.find(*target);
+    slot_usage used = known == nullptr ? slot_usage{} : *known;
+    std::uint32_t& count = exchange->long_running ? used.long_running : used.short_running;
+    count += static_cast<std::uint32_t>(change);
+    if (used.total() == 0) {
+        slots_.erase(*target);
+    } else {
+        slots_.put(*target, used);
+    }
+    index_.refresh(board, *target);
+}
+
+} // namespace papayafall
--- a/packages/core/src/engine.cpp
+++ b/packages/core/src/engine/engine.cpp
@@ -35,18 +35,10 @@
 
 void engine::tick(const clock_reading& now)
 {
-    for (std::size_t n = 0; n < max_rounds; ++n) {
-        for (const auto& it : controllers_) {
-            it->on_tick(*board_, now);
-        }
-        if (board_->raised.empty()) {
-            return;
-        }
-        for (const event& it : board_->raised.drain()) {
-            process(it, now);
-        }
+    for (const auto& it : controllers_) {
+        it->on_tick(*board_, now);
+        settle(now);
     }
-    throw invariant_error("controllers raise events without end");
 }
 
 std::vector<action> engine::take_actions()
@@ -59,6 +51,11 @@
     for (const auto& it : controllers_) {
         it->on_event(*board_, incoming, now);
     }
+    settle(now);
+}
+
+void engine::settle(const clock_reading& now)
+{
     for (std::size_t n = 0; n < max_rounds; ++n) {
         const std::vector<event> raised = board_->raised.drain();
         if (raised.empty()) {
--- /dev/null
+++ b/packages/core/src/identity/home.cpp
@@ -0,0 +1,160 @@
+#include "papayafall/core/identity/home.hpp"
+
+#include "papayafall/core/membership/live_hosts.hpp"
+#include "papayafall/core/values/stable_hash.hpp"
+
+#include <algorithm>
+
+namespace papayafall {
+
+namespace {
+
+failure unknown_outcome(error_id id, std::string detail)
+{
+    return failure{.id = id, .run = run_state::unknown, .detail = std::move(detail)};
+}
+
+failure invalid_key(std::string detail)
+{
+    return failure{
+        .id = error_id::invalid_key, .run = run_state::not_run, .detail = std::move(detail)};
+}
+
+home_location locate_ticket(const blackboard& board, const ticket& key, time_point now)
+{
+    const self_state& self = board.self.get();
+    if (key.host == self->host && key.incarnation == self->incarnation) {
+        return home_here{};
+    }
+    const host_state* state = board.hosts.find(key.host);
+    if (key.host == self->host ||
+        (state != nullptr && (*state)->last->incarnation > key.incarnation)) {
+        return unknown_outcome(error_id::home_lost,
+                               "the host that issued the ticket was restarted or replaced");
+    }
+    const peer_id peer{.host = key.host, .incarnation = key.incarnation};
+    const host_state* alive = find_alive(board, peer, now);
+    if (alive == nullptr) {
+        return unknown_outcome(error_id::home_unreachable,
+                               "the host that issued the ticket cannot be reached");
+    }
+    return home_at_peer{.peer = peer, .link = (*alive)->last->link};
+}
+
+bool holds_seat(const heartbeat& beat, const seat_id& seat)
+{
+    return std::find(beat->seats.begin(), beat->seats.end(), seat) != beat->seats.end();
+}
+
+home_location locate_caller_key(const blackboard& board, const caller_key& key, time_point now)
+{
+    const std::optional<seat_id> seat = seat_of(board.current_configuration.get(), key);
+    if (!seat) {
+        return unknown_outcome(error_id::no_home, "the configuration gives no zone a seat");
+    }
+    const seat_state* own = board.seats.find(*seat);
+    if (own != nullptr && (*own)->phase == seat_phase::held) {
+        return home_here{};
+    }
+    for (const auto& it : board.hosts) {
+        const heartbeat& beat = it.value->last;
+        if (!is_alive(it.value, now) || !holds_seat(beat, *seat)) {
+            continue;
+        }
+        return home_at_peer{.peer = {.host = it.key, .incarnation = beat->incarnation},
+                            .link = beat->link};
+    }
+    return unknown_outcome(error_id::no_home, "no reachable host holds the seat of the key");
+}
+
+std::optional<failure> check_ticket(const blackboard& board, const ticket& key)
+{
+    const submission_numbers& numbers = board.submission_counters.get();
+    if (key.zone != board.self.get()->zone || key.sequence >= numbers.next_ticket) {
+        return invalid_key("the ticket was not issued");
+    }
+    if (key.sequence <= numbers.expired_ticket) {
+        return unknown_outcome(error_id::key_expired, "the ticket is too old to start work");
+    }
+    return std::nullopt;
+}
+
+std::optional<failure> check_made_at(const blackboard& board, const seat_state& seat,
+                                     wall_time made_at, const clock_reading& now)
+{
+    const core_parameters& parameters = board.parameters;
+    if (made_at > now.wall + parameters->key_future_limit) {
+        return invalid_key("the creation time of the key lies in the future");
+    }
+    const auto lifetime =
+        std::chrono::duration_cast<std::chrono::milliseconds>(parameters->key_lifetime());
+    if (made_at < now.wall - lifetime) {
+        return unknown_outcome(error_id::key_expired, "the key is too old to start work");
+    }
+    if (made_at <= seat->accept_made_after) {
+        return unknown_outcome(error_id::home_lost,
+                               "the key is older than the present holder of its seat");
+    }
+    return std::nullopt;
+}
+
+std::optional<failure> check_caller_key(const blackboard& board, const caller_key& key,
+                                        const clock_reading& now)
+{
+    const std::optional<seat_id> seat = seat_of(board.current_configuration.get(), key);
+    const seat_state* state = seat ? board.seats.find(*seat) : nullptr;
+    if (state == nullptr || (*state)->phase != seat_phase::held ||
+        now.steady >= board.session_lease.get()) {
+        return unknown_outcome(error_id::no_home, "the lease of the seat is not confirmed");
+    }
+    if (key.made_at) {
+        return check_made_at(board, *state, *key.made_at, now);
+    }
+    if (now.steady < (*state)->accept_plain_from) {
+        failure lost = unknown_outcome(
+            error_id::home_lost, "the seat changed hands and the key carries no creation time");
+        lost.retry_at = (*state)->accept_plain_from;
+        return lost;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<seat_id> seat_of(const configuration& current, const caller_key& key)
+{
+    std::uint64_t total = 0;
+    for (const auto& [zone, it] : current->zones) {
+        total += it.seats;
+    }
+    if (total == 0) {
+        return std::nullopt;
+    }
+    std::uint64_t index = stable_hash(key.text) % total;
+    for (const auto& [zone, it] : current->zones) {
+        if (index < it.seats) {
+            return seat_id{.zone = zone, .number = static_cast<std::uint32_t>(index)};
+        }
+        index -= it.seats;
+    }
+    return std::nullopt;
+}
+
+home_location locate_home(const blackboard& board, const request_key& key, time_point now)
+{
+    if (const auto* it = std::get_if<ticket>(&key)) {
+        return locate_ticket(board, *it, now);
+    }
+    return locate_caller_key(board, std::get<caller_key>(key), now);
+}
+
+std::optional<failure> check_first_use(const blackboard& board, const request_key& key,
+                                       const clock_reading& now)
+{
+    if (const auto* it = std::get_if<ticket>(&key)) {
+        return check_ticket(board, *it);
+    }
+    return check_caller_key(board, std::get<caller_key>(key), now);
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/control/action_router.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "papayafall/core/engine/sinks.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <functional>
+
+namespace papayafall {
+
+/// The threads that carry out actions.
+struct action_targets {
+    action_sink& callers;
+    action_sink& targets;
+    action_sink& peers;
+    action_sink& platform;
+    /// Called on the control thread once all work has ended.
+    std::function<void()> stop;
+};
+
+/// Passes each action to the thread that carries it out, and counts actions by kind.
+class action_router : public action_sink {
+  public:
+    action_router(action_targets targets, prometheus::Registry& registry);
+
+    void post(action requested) override;
+
+  private:
+    void route(action requested);
+
+    action_targets targets_;
+    std::array<prometheus::Counter*, std::variant_size_v<action>> counters_{};
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "papayafall/core/engine/engine.hpp"
+#include "papayafall/core/engine/mailbox.hpp"
+#include "papayafall/core/engine/sinks.hpp"
+
+#include <QThread>
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+
+namespace papayafall {
+
+/// The one thread that owns the blackboard.
+///
+/// It drains its mailbox in batches, hands the events to the engine with the clocks read once for
+/// the batch, and passes the engine's actions on. Between events it sleeps in its event loop; a
+/// timer wakes it for the deadlines.
+class control_thread : public event_sink {
+  public:
+    /// Called on the control thread when the engine throws; the process must stop.
+    using fault_handler = std::function<void(const std::exception&)>;
+
+    /// @param actions takes the engine's actions, on the control thread
+    control_thread(std::unique_ptr<engine> core, action_sink& actions, fault_handler on_fault);
+    ~control_thread() override;
+
+    /// Starts the thread. Events posted before are handled first.
+    void start();
+
+    /// Ends the thread after the batch in progress; events that are posted later are dropped.
+    void stop();
+
+    void post(event incoming) override { mailbox_.post(std::move(incoming)); }
+
+  private:
+    void wake();
+    void run_batch();
+    void run_tick();
+    void pass_on();
+    void check_invariants();
+
+    std::unique_ptr<engine> core_;
+    action_sink& actions_;
+    fault_handler on_fault_;
+    QThread thread_;
+    QObject context_; ///< lives on `thread_`
+    std::unique_ptr<QTimer> timer_;
+    std::unique_ptr<QTimer> invariant_timer_;
+    mailbox<event> mailbox_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/logging/log.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "papayafall/wire/settings/settings.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace papayafall {
+
+/// One named field of a log record.
+struct log_field {
+    std::string name;
+    std::string value;
+
+    log_field(std::string key, std::string text) : name(std::move(key)), value(std::move(text)) {}
+
+    log_field(std::string key, std::uint64_t number)
+        : name(std::move(key)), value(std::to_string(number))
+    {
+    }
+};
+
+/// Directs log records to the file or to standard error, one JSON object a line.
+/// @throws configuration_error when the file cannot be opened
+void open_log(const log_settings& wanted);
+
+/// Writes a record; `message` is a constant text, everything variable goes into fields.
+/// Callable from any thread.
+void write_log(log_level level, std::string_view message,
+               std::initializer_list<log_field> fields = {});
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/control/action_router.cpp
@@ -0,0 +1,90 @@
+#include "papayafall/daemon/control/action_router.hpp"
+
+#include "papayafall/daemon/logging/log.hpp"
+
+#include <string>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+enum class destination { callers, targets, peers, platform, process };
+
+/// Names and destinations in the order of the alternatives of `action`.
+struct route_entry {
+    const char* name;
+    destination to;
+};
+
+constexpr std::array<route_entry, std::variant_size_v<action>> routes{{
+    {"answer_call", destination::callers},
+    {"issue_tickets", destination::callers},
+    {"forward_request", destination::peers},
+    {"forward_cancel", destination::peers},
+    {"answer_forward", destination::peers},
+    {"start_exchange", destination::targets},
+    {"abandon_exchange", destination::targets},
+    {"delegate_work", destination::peers},
+    {"answer_delegation", destination::peers},
+    {"send_heartbeat", destination::peers},
+    {"claim_seat", destination::platform},
+    {"release_seat", destination::platform},
+    {"watch_configuration", destination::platform},
+    {"fetch_configuration", destination::peers},
+    {"configuration_applied", destination::process},
+    {"publish_status", destination::callers},
+    {"stop_process", destination::process},
+}};
+
+static_assert(std::is_same_v<std::variant_alternative_t<16, action>, stop_process>);
+static_assert(std::is_same_v<std::variant_alternative_t<5, action>, start_exchange>);
+
+} // namespace
+
+action_router::action_router(action_targets targets, prometheus::Registry& registry)
+    : targets_(std::move(targets))
+{
+    auto& family = prometheus::BuildCounter()
+                       .Name("papayafall_actions_total")
+                       .Help("Actions that the core asked for, by kind")
+                       .Register(registry);
+    for (std::size_t n = 0; n < routes.size(); ++n) {
+        counters_.at(n) = &family.Add({{"kind", routes.at(n).name}});
+    }
+}
+
+void action_router::post(action requested)
+{
+    counters_.at(requested.index())->Increment();
+    route(std::move(requested));
+}
+
+void action_router::route(action requested)
+{
+    switch (routes.at(requested.index()).to) {
+    case destination::callers:
+        targets_.callers.post(std::move(requested));
+        return;
+    case destination::targets:
+        targets_.targets.post(std::move(requested));
+        return;
+    case destination::peers:
+        targets_.peers.post(std::move(requested));
+        return;
+    case destination::platform:
+        targets_.platform.post(std::move(requested));
+        return;
+    case destination::process:
+        break;
+    }
+    if (const auto* applied = std::get_if<configuration_applied>(&requested)) {
+        write_log(log_level::info, "configuration revision in force",
+                  {{"revision", applied->content->revision.value()}});
+        targets_.peers.post(*applied);
+    } else {
+        targets_.stop();
+    }
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/logging/log.cpp
@@ -0,0 +1,73 @@
+#include "papayafall/daemon/logging/log.hpp"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/mdc.h>
+
+#include <list>
+#include <memory>
+
+namespace papayafall {
+
+namespace {
+
+log4cxx::LoggerPtr logger()
+{
+    static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("papayafall");
+    return instance;
+}
+
+log4cxx::LevelPtr level_of(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warning:
+        return log4cxx::Level::getWarn();
+    case log_level::error:
+        break;
+    }
+    return log4cxx::Level::getError();
+}
+
+log4cxx::AppenderPtr appender_for(const log_settings& wanted)
+{
+    const log4cxx::LayoutPtr layout = std::make_shared<log4cxx::JSONLayout>();
+    if (wanted.file.empty()) {
+        return std::make_shared<log4cxx::ConsoleAppender>(layout,
+                                                          log4cxx::ConsoleAppender::getSystemErr());
+    }
+    return std::make_shared<log4cxx::FileAppender>(layout, wanted.file, true);
+}
+
+} // namespace
+
+void open_log(const log_settings& wanted)
+{
+    const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(appender_for(wanted));
+    root->setLevel(level_of(wanted.level));
+}
+
+void write_log(log_level level, std::string_view message, std::initializer_list<log_field> fields)
+{
+    const log4cxx::LoggerPtr target = logger();
+    const log4cxx::LevelPtr wanted = level_of(level);
+    if (!target->isEnabledFor(wanted)) {
+        return;
+    }
+    std::list<log4cxx::MDC> context;
+    for (const log_field& it : fields) {
+        context.emplace_back(it.name, it.value);
+    }
+    target->forcedLog(wanted, std::string(message));
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/wire/include/papayafall/wire/settings/settings.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "papayafall/core/state/core_parameters.hpp"
+#include "papayafall/core/values/configuration.hpp"
+#include "papayafall/core/values/host.hpp"
+#include "papayafall/core/values/identifiers.hpp"
+#include "papayafall/core/values/value.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace papayafall {
+
+/// Certificate and private key, as paths of PEM files.
+struct tls_settings {
+    std::string certificate_file;
+    std::string key_file;
+
+    auto operator<=>(const tls_settings&) const = default;
+};
+
+/// Where callers are accepted.
+struct caller_settings {
+    endpoint listen;
+    std::uint32_t threads = 1;
+    std::uint32_t max_body_bytes = 1U << 20U;
+    std::uint32_t max_connections = 4000;
+    std::chrono::milliseconds request_timeout{10'000};
+    std::chrono::milliseconds idle_timeout{60'000};
+    std::optional<tls_settings> tls;
+
+    auto operator<=>(const caller_settings&) const = default;
+};
+
+/// Where other hosts of the system are accepted.
+struct peer_settings {
+    endpoint links;     ///< TCP
+    endpoint datagrams; ///< UDP
+    /// File with the key that all hosts of the system share.
+    std::string key_file;
+
+    auto operator<=>(const peer_settings&) const = default;
+};
+
+/// How tasks are sent to targets.
+struct target_settings {
+    std::uint32_t threads = 1;
+    std::chrono::milliseconds idle_connection_limit{5'000};
+
+    auto operator<=>(const target_settings&) const = default;
+};
+
+enum class platform_kind : std::uint8_t { memory, http };
+
+/// Where the platform's services are.
+struct platform_settings {
+    platform_kind kind = platform_kind::memory;
+    endpoint address; ///< for `http`
+    std::chrono::milliseconds session_ttl{10'000};
+    std::chrono::milliseconds call_timeout{2'000};
+    std::chrono::milliseconds host_list_period{2'000};
+    /// For `memory`: the hosts and targets that there are.
+    host_list_snapshot hosts;
+    /// For `memory`: the configuration in force.
+    configuration initial_configuration;
+
+    auto operator<=>(const platform_settings&) const = default;
+};
+
+enum class log_level : std::uint8_t { debug, info, warning, error };
+
+struct log_settings {
+    log_level level = log_level::info;
+    /// File to append to; empty for standard error.
+    std::string file;
+
+    auto operator<=>(const log_settings&) const = default;
+};
+
+struct settings_fields {
+    host_name host;
+    zone_name zone;
+    caller_settings callers;
+    peer_settings peers;
+    target_settings targets;
+    platform_settings platform;
+    log_settings log;
+    core_parameters parameters;
+    /// Time that a graceful shutdown may take.
+    std::chrono::milliseconds shutdown_limit{30'000};
+
+    auto operator<=>(const settings_fields&) const = default;
+};
+
+/// The checked settings of one daemon.
+using settings = value<settings_fields>;
+
+/// Parses and checks the settings of a daemon.
+/// @throws configuration_error (`invalid_settings`) with the JSON pointer of the first fault
+settings parse_settings(std::string_view text);
+
+/// Reads the settings file of a daemon.
+/// @throws configuration_error when it cannot be read or is not valid
+settings load_settings(const std::string& path);
+
+} // namespace papayafall
