Encode the configuration, change records, host lists and seat records as JSON

Operators and the platform's service exchange these documents. The reader is strict: an unknown key, a wrong type or a value out of range is a configuration_error with its JSON pointer. An intent is a merge patch (RFC 7396) over services, teams and zones.

--- /dev/null
+++ b/packages/wire/tests/configuration/unit-configuration_json.cpp
@@ -0,0 +1,129 @@
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/wire/configuration/change_record.hpp"
+#include "papayafall/wire/configuration/configuration_json.hpp"
+#include "papayafall/wire/configuration/host_list_json.hpp"
+#include "papayafall/wire/configuration/seat_record.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace papayafall;
+
+namespace {
+
+std::string fault_path(const std::string& text)
+{
+    try {
+        parse_configuration(text);
+    } catch (const configuration_error& it) {
+        return it.path();
+    }
+    return "no error";
+}
+
+configuration example()
+{
+    return parse_configuration(R"({
+        "revision": 4,
+        "services": {"quote": {"urgency": "urgent", "time_limit_ms": 400, "rate_limit_per_s": 50},
+                     "booking": {"idempotent": false, "concurrency_limit": 8}},
+        "teams": {"counter": {"slot_quota": 40, "rate_limit_per_s": 900}},
+        "zones": {"a": {"seats": 6}}})");
+}
+
+class configuration_json_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(configuration_json_test);
+    CPPUNIT_TEST(documents_round_trip);
+    CPPUNIT_TEST(faults_name_their_place);
+    CPPUNIT_TEST(intent_is_a_merge_patch);
+    CPPUNIT_TEST(intent_cannot_set_the_revision);
+    CPPUNIT_TEST(change_record_round_trips);
+    CPPUNIT_TEST(host_list_round_trips);
+    CPPUNIT_TEST(seat_record_round_trips);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void documents_round_trip()
+    {
+        const configuration before = example();
+        CPPUNIT_ASSERT(before->services.at(service_name("quote")).urgency == urgency_level::urgent);
+        CPPUNIT_ASSERT(decode_configuration(encode_configuration(before)) == before);
+        CPPUNIT_ASSERT(decode_configuration(encode_configuration({})) == configuration{});
+    }
+
+    void faults_name_their_place()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("/services/a/time_limit"),
+                             fault_path(R"({"services": {"a": {"time_limit": 5}}})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/services/a/time_limit_ms"),
+                             fault_path(R"({"services": {"a": {"time_limit_ms": 0}}})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/services/a/queue_limit"),
+                             fault_path(R"({"services": {"a": {"queue_limit": 4294967296}}})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/teams/t/slot_quota"),
+                             fault_path(R"({"teams": {"t": {"slot_quota": -1}}})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/services/a/idempotent"),
+                             fault_path(R"({"services": {"a": {"idempotent": "yes"}}})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/services/a~1b"),
+                             fault_path(R"({"services": {"a/b": {}}})"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/zones"), fault_path(R"({"zones": []})"));
+        CPPUNIT_ASSERT_EQUAL(std::string(""), fault_path("{"));
+    }
+
+    void intent_is_a_merge_patch()
+    {
+        const auto intent = intent_document::parse(
+            R"({"services": {"quote": {"rate_limit_per_s": null}, "booking": null}})");
+        const configuration after = apply_intent(example(), intent.json(), revision_id(5));
+
+        CPPUNIT_ASSERT(after->revision == revision_id(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, after->services.size());
+        CPPUNIT_ASSERT(!after->services.at(service_name("quote")).rate_limit);
+        CPPUNIT_ASSERT(after->teams == example()->teams);
+    }
+
+    void intent_cannot_set_the_revision()
+    {
+        const auto intent = intent_document::parse(R"({"revision": 9})");
+        CPPUNIT_ASSERT_THROW(apply_intent(example(), intent.json(), revision_id(5)),
+                             configuration_error);
+        CPPUNIT_ASSERT_THROW(intent_document::parse("[]"), configuration_error);
+    }
+
+    void change_record_round_trips()
+    {
+        const auto intent = intent_document::parse(R"({"teams": {"counter": null}})");
+        const configuration after = apply_intent(example(), intent.json(), revision_id(5));
+        const change_record before(change_record_fields{
+            .revision = revision_id(5),
+            .base = revision_id(4),
+            .plan = plan_id("0a"),
+            .author = operator_name("ana"),
+            .confirmed_at = wall_time(std::chrono::milliseconds(7)),
+            .intent = intent,
+            .differences = compare_configurations(example(), after),
+        });
+
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, before->differences.size());
+        CPPUNIT_ASSERT(decode_change_record(encode_change_record(before)) == before);
+        CPPUNIT_ASSERT_THROW(decode_change_record("{}"), configuration_error);
+    }
+
+    void host_list_round_trips()
+    {
+        const host_list_snapshot before(host_list_fields{
+            .peers = {{host_name("e1"), zone_name("a"), {"127.0.0.1", 7001}, false}},
+            .targets = {{target_name("t1"), zone_name("a"), {"127.0.0.1", 9001}, 8, true}},
+        });
+        CPPUNIT_ASSERT(decode_host_list(encode_host_list(before), "") == before);
+    }
+
+    void seat_record_round_trips()
+    {
+        const seat_record before{host_name("e1"), zone_name("a"), incarnation_id(3),
+                                 wall_time(std::chrono::milliseconds(9))};
+        CPPUNIT_ASSERT(decode_seat_record(encode_seat_record(before)) == before);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(configuration_json_test);
+
+} // namespace
