--- a/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
+++ b/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
@@ -22,12 +22,12 @@
     /// Called on the control thread when the engine throws; the process must stop.
     using fault_handler = std::function<void(const std::exception&)>;
 
-    /// @param actions takes the engine's actions, on the control thread
-    control_thread(std::unique_ptr<engine> core, action_sink& actions, fault_handler on_fault);
+    control_thread(std::unique_ptr<engine> core, fault_handler on_fault);
     ~control_thread() override;
 
     /// Starts the thread. Events posted before are handled first.
-    void start();
+    /// @param actions takes the engine's actions, on the control thread, until `stop`
+    void start(action_sink& actions);
 
     /// Ends the thread after the batch in progress; events that are posted later are dropped.
     void stop();
@@ -42,7 +42,7 @@
     void check_invariants();
 
     std::unique_ptr<engine> core_;
-    action_sink& actions_;
+    action_sink* actions_ = nullptr;
     fault_handler on_fault_;
     QThread thread_;
     QObject context_; ///< lives on `thread_`
--- a/packages/daemon/src/control/action_router.cpp
+++ b/packages/daemon/src/control/action_router.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-enum class destination { callers, targets, peers, platform, process };
+enum class destination { callers, targets, peers, platform, process, targets_and_peers };
 
 /// Names and destinations in the order of the alternatives of `action`.
 struct route_entry {
@@ -24,7 +24,7 @@
     {"forward_cancel", destination::peers},
     {"answer_forward", destination::peers},
     {"start_exchange", destination::targets},
-    {"abandon_exchange", destination::targets},
+    {"abandon_exchange", destination::targets_and_peers},
     {"delegate_work", destination::peers},
     {"answer_delegation", destination::peers},
     {"send_heartbeat", destination::peers},
@@ -75,6 +75,10 @@
     case destination::platform:
         targets_.platform.post(std::move(requested));
         return;
+    case destination::targets_and_peers:
+        targets_.targets.post(requested);
+        targets_.peers.post(std::move(requested));
+        return;
     case destination::process:
         break;
     }
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -17,10 +17,8 @@
 
 } // namespace
 
-control_thread::control_thread(std::unique_ptr<engine> core, action_sink& actions,
-                               fault_handler on_fault)
-    : core_(std::move(core)), actions_(actions), on_fault_(std::move(on_fault)),
-      mailbox_([this] { wake(); })
+control_thread::control_thread(std::unique_ptr<engine> core, fault_handler on_fault)
+    : core_(std::move(core)), on_fault_(std::move(on_fault)), mailbox_([this] { wake(); })
 {
     thread_.setObjectName("control");
     context_.moveToThread(&thread_);
@@ -31,8 +29,9 @@
     stop();
 }
 
-void control_thread::start()
+void control_thread::start(action_sink& actions)
 {
+    actions_ = &actions;
     thread_.start();
     QMetaObject::invokeMethod(&context_, [this] {
         timer_ = std::make_unique<QTimer>();
@@ -97,7 +96,7 @@
 void control_thread::pass_on()
 {
     for (action& it : core_->take_actions()) {
-        actions_.post(std::move(it));
+        actions_->post(std::move(it));
     }
 }
 
