--- a/packages/core/include/papayafall/core/blackboard/cell.hpp
+++ b/packages/core/include/papayafall/core/blackboard/cell.hpp
@@ -55,7 +55,7 @@
   private:
     friend class cell_writer<Value>;
 
-    Value value_;
+    Value value_{};
     bool claimed_ = false;
 };
 
--- a/packages/core/include/papayafall/core/controllers/limit_controller.hpp
+++ b/packages/core/include/papayafall/core/controllers/limit_controller.hpp
@@ -27,10 +27,8 @@
     void close(const blackboard& board, const submission_closed& incoming);
     void charge(const blackboard& board, const exchange_finished& incoming,
                 const clock_reading& now);
-    void advance(const blackboard& board, const team_name& team, duration work, std::uint32_t tasks,
-                 const clock_reading& now);
-    void release(const blackboard& board, const service_name& service, const team_name& team,
-                 std::uint32_t tasks);
+    void advance(const blackboard& board, const work_item& sample, std::uint32_t tasks);
+    void release(const blackboard& board, const open_submission& from, std::uint32_t tasks);
 
     std::shared_ptr<const run_time_estimator> run_times_;
     table_writer<service_name, service_usage> services_;
--- a/packages/core/include/papayafall/core/controllers/target_controller.hpp
+++ b/packages/core/include/papayafall/core/controllers/target_controller.hpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/policies/ejection_policy.hpp"
 
 #include <memory>
+#include <set>
 
 namespace papayafall {
 
@@ -20,6 +21,18 @@
     void on_tick(blackboard& board, const clock_reading& now) override;
 
   private:
+    void read_list(blackboard& board, const host_list_snapshot& hosts, const clock_reading& now);
+    void read_entry(blackboard& board, const target_entry& entry, const clock_reading& now);
+    void drop_unlisted(blackboard& board, const std::set<target_name>& listed,
+                       const clock_reading& now);
+    void read_heartbeat(blackboard& board, const heartbeat& beat, const clock_reading& now);
+    void judge(blackboard& board, const exchange_finished& incoming, const clock_reading& now);
+    void count_outcome(const blackboard& board, bool success);
+    void end_stage(blackboard& board, const target_name& target, const clock_reading& now);
+    void divide(blackboard& board, const clock_reading& now);
+    void replace(blackboard& board, const target_name& target, const target_state& after);
+    void erase(blackboard& board, const target_name& target);
+
     std::shared_ptr<const ejection_policy> ejection_;
     table_writer<target_name, target_state> targets_;
     cell_writer<zone_health> health_;
--- a/packages/core/include/papayafall/core/controllers/target_index_writer.hpp
+++ b/packages/core/include/papayafall/core/controllers/target_index_writer.hpp
@@ -16,6 +16,9 @@
     /// Brings the entry of `target` up to date. Complexity: logarithmic.
     void refresh(const blackboard& board, const target_name& target);
 
+    /// Counts a start at `target`, for the selectors that go by the starts.
+    void count_start(const blackboard& board, const target_name& target);
+
   private:
     void remove(const blackboard& board, const target_name& target);
     void add(const blackboard& board, const target_name& target);
--- /dev/null
+++ b/packages/core/include/papayafall/core/policies/slot_price.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "papayafall/core/values/configuration.hpp"
+
+#include <cstdint>
+
+namespace papayafall {
+
+/// Price of `run_time` on one slot, in millionths of the operators' currency.
+inline std::uint64_t price_of(const service_configuration& service, duration run_time)
+{
+    constexpr std::uint64_t microseconds_per_second = 1'000'000;
+    const auto held = static_cast<std::uint64_t>(run_time.count());
+    return held * service.price_per_slot_second / microseconds_per_second;
+}
+
+} // namespace papayafall
--- a/packages/core/include/papayafall/core/state/usage.hpp
+++ b/packages/core/include/papayafall/core/state/usage.hpp
@@ -13,6 +13,15 @@
     std::int64_t tokens = 0;
     time_point refilled_at{};
 
+    /// Returns the bucket at `now`: filled by `rate` tasks a second, up to one second's worth.
+    rate_bucket refilled(std::uint32_t rate, time_point now) const;
+
+    /// Returns the bucket without the tokens of `tasks`; they may become a debt.
+    rate_bucket taken(std::uint32_t tasks) const;
+
+    /// Instant from which `tasks` may start, or all that the bucket holds where they are more.
+    time_point ready_at(std::uint32_t tasks, std::uint32_t rate) const;
+
     auto operator<=>(const rate_bucket&) const = default;
 };
 
@@ -23,6 +32,9 @@
     std::uint64_t spent = 0; ///< in the present budget window, in millionths
     time_point window_end{};
 
+    /// What is spent in the budget window that `now` lies in. Complexity: constant.
+    std::uint64_t spent_at(time_point now) const noexcept { return now < window_end ? spent : 0; }
+
     auto operator<=>(const service_usage&) const = default;
 };
 
--- /dev/null
+++ b/packages/core/src/controllers/estimate_controller.cpp
@@ -0,0 +1,29 @@
+#include "papayafall/core/controllers/estimate_controller.hpp"
+
+#include <variant>
+
+namespace papayafall {
+
+estimate_controller::estimate_controller(blackboard& board) : run_times_(board.run_times.claim()) {}
+
+void estimate_controller::on_event(blackboard& board, const event& incoming,
+                                   const clock_reading& now)
+{
+    const auto* finished = std::get_if<exchange_finished>(&incoming);
+    if (finished == nullptr || !std::holds_alternative<task_answer>(finished->outcome)) {
+        return;
+    }
+    const exchange_state* exchange = board.exchanges.find(finished->exchange);
+    if (exchange == nullptr || !std::holds_alternative<target_name>((*exchange)->place)) {
+        return;
+    }
+    const service_name& service = (*exchange)->work->service;
+    const run_time_estimate* before = board.run_times.find(service);
+    const duration run_time = now.steady - (*exchange)->started_at;
+    run_times_.put(service,
+                   (before == nullptr ? run_time_estimate() : *before).with_observed(run_time));
+}
+
+void estimate_controller::on_tick(blackboard& /*board*/, const clock_reading& /*now*/) {}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/controllers/target_controller.cpp
@@ -0,0 +1,371 @@
+#include "papayafall/core/controllers/target_controller.hpp"
+
+#include "papayafall/core/controllers/target_transitions.hpp"
+#include "papayafall/core/policies/rendezvous_hash.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+
+namespace papayafall {
+
+namespace {
+
+/// Time between two looks at the hosts that share the zone's targets.
+constexpr duration division_period = std::chrono::milliseconds(100);
+/// Lists in a row, each without most of the known targets, after which such a list is believed.
+constexpr std::uint32_t most_doubtful_lists = 3;
+constexpr std::uint64_t most_zone_outcomes = 2000;
+constexpr duration removal_period = std::chrono::seconds(1);
+constexpr std::uint16_t first_server_error = 500;
+constexpr std::int64_t permille = 1000;
+
+bool is_ejected(const target_state& target)
+{
+    return target->stage == target_stage::ejected || target->stage == target_stage::probing;
+}
+
+bool changes_index(const target_state& before, const target_state& after)
+{
+    return before->owned != after->owned || before->usable_slots != after->usable_slots ||
+           before->stage != after->stage ||
+           before->relative_run_time / permille != after->relative_run_time / permille;
+}
+
+std::uint32_t relative_run_time(const exchange_state& exchange, const clock_reading& now)
+{
+    const std::int64_t expected = std::max<std::int64_t>(exchange->expected_run_time.count(), 1);
+    const std::int64_t held = (now.steady - exchange->started_at).count();
+    constexpr std::int64_t most = 1'000'000;
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(held * permille / expected, 0, most));
+}
+
+enum class verdict { success, failure, none };
+
+/// What an outcome says about the target.
+verdict verdict_of(const exchange_state& exchange, const exchange_outcome& outcome,
+                   const clock_reading& now)
+{
+    if (exchange->abandoned) {
+        return verdict::none;
+    }
+    if (const auto* result = std::get_if<task_answer>(&outcome)) {
+        return result->status < first_server_error ? verdict::success : verdict::failure;
+    }
+    if (std::holds_alternative<no_answer>(outcome)) {
+        const bool had_time = now.steady - exchange->started_at >= exchange->expected_run_time;
+        return had_time ? verdict::failure : verdict::none;
+    }
+    if (const auto* failed = std::get_if<failure>(&outcome)) {
+        return failed->run == run_state::not_run ? verdict::none : verdict::failure;
+    }
+    return verdict::failure;
+}
+
+/// Names of the zone's targets in the list.
+std::set<target_name> listed_targets(const host_list_snapshot& hosts, const zone_name& zone)
+{
+    std::set<target_name> names;
+    for (const target_entry& it : hosts->targets) {
+        if (it.zone == zone) {
+            names.insert(it.name);
+        }
+    }
+    return names;
+}
+
+/// A list without most of the known targets: more likely an outage of the platform than a loss.
+bool is_doubtful(const blackboard& board, const std::set<target_name>& listed)
+{
+    std::size_t known = 0;
+    std::size_t missing = 0;
+    for (const auto& it : board.targets) {
+        if (!it.value->listed) {
+            continue;
+        }
+        ++known;
+        missing += listed.contains(it.key) ? 0 : 1;
+    }
+    return known > 0 && (listed.empty() || 2 * missing > known);
+}
+
+/// This host and its live peers of the zone. A leaving host counts only for itself, so that it
+/// can finish what it accepted.
+std::vector<host_name> dispatching_hosts(const blackboard& board, const clock_reading& now)
+{
+    std::vector<host_name> names{board.self.get()->host};
+    for (const auto& it : board.hosts) {
+        const heartbeat& beat = it.value->last;
+        if (beat->zone != board.self.get()->zone || beat->leaving ||
+            it.value->alive_until <= now.steady) {
+            continue;
+        }
+        names.push_back(beat->host);
+    }
+    std::ranges::sort(names);
+    const auto repeated = std::ranges::unique(names);
+    names.erase(repeated.begin(), repeated.end());
+    return names;
+}
+
+bool owns(const blackboard& board, const target_name& target)
+{
+    const host_name* owner = rendezvous_owner(board.division->hosts, target);
+    return owner != nullptr && *owner == board.self.get()->host;
+}
+
+target_state with_owned(const target_state& target, bool owned)
+{
+    return target.with([owned](target_state_fields& it) { it.owned = owned; });
+}
+
+} // namespace
+
+target_controller::target_controller(blackboard& board,
+                                     std::shared_ptr<const ejection_policy> ejection)
+    : ejection_(std::move(ejection)), targets_(board.targets.claim()),
+      health_(board.health.claim()), division_(board.division.claim())
+{
+}
+
+void target_controller::on_event(blackboard& board, const event& incoming, const clock_reading& now)
+{
+    if (const auto* list = std::get_if<host_list_received>(&incoming)) {
+        read_list(board, list->hosts, now);
+    } else if (const auto* beat = std::get_if<heartbeat_received>(&incoming)) {
+        read_heartbeat(board, beat->beat, now);
+    } else if (const auto* finished = std::get_if<exchange_finished>(&incoming)) {
+        judge(board, *finished, now);
+    }
+}
+
+void target_controller::on_tick(blackboard& board, const clock_reading& now)
+{
+    if (board.division->next_check <= now.steady) {
+        divide(board, now);
+    }
+    while (const auto target = board.targets.expired(now.steady)) {
+        end_stage(board, *target, now);
+    }
+}
+
+void target_controller::read_list(blackboard& board, const host_list_snapshot& hosts,
+                                  const clock_reading& now)
+{
+    const std::set<target_name> listed = listed_targets(hosts, board.self.get()->zone);
+    target_division division = board.division.get();
+    const bool doubtful = is_doubtful(board, listed);
+    division.doubtful_lists = doubtful ? division.doubtful_lists + 1 : 0;
+    division_.put(division);
+
+    if (board.division->hosts.empty()) {
+        divide(board, now);
+    }
+    for (const target_entry& it : hosts->targets) {
+        if (it.zone == board.self.get()->zone) {
+            read_entry(board, it, now);
+        }
+    }
+    const bool believed = !doubtful || division.doubtful_lists >= most_doubtful_lists;
+    if (believed && !listed.empty()) {
+        drop_unlisted(board, listed, now);
+    }
+}
+
+void target_controller::read_entry(blackboard& board, const target_entry& entry,
+                                   const clock_reading& now)
+{
+    const target_state* known = board.targets.find(entry.name);
+    if (known == nullptr) {
+        const target_state fresh(
+            target_state_fields{.entry = entry, .owned = owns(board, entry.name)});
+        replace(board, entry.name, entry.leaving ? as_leaving(fresh, now) : as_careful(fresh, now));
+        return;
+    }
+    const target_state before = *known;
+    if (before->entry == entry && before->listed) {
+        return;
+    }
+    const target_state listed = before.with([&entry](target_state_fields& it) {
+        it.entry = entry;
+        it.listed = true;
+        it.usable_slots = std::min(it.usable_slots, entry.slots);
+    });
+    if (entry.leaving) {
+        replace(board, entry.name, as_leaving(listed, now));
+        return;
+    }
+    const bool came_back = before->entry.leaving || !before->listed;
+    const bool resized = before->entry.slots != entry.slots;
+    const bool in_use = before->stage == target_stage::healthy;
+    if (came_back) {
+        const target_state renewed =
+            listed.with([](target_state_fields& it) { it.announced_leaving = false; });
+        replace(board, entry.name, as_probing(renewed));
+    } else if (resized && in_use) {
+        replace(board, entry.name, as_careful(listed, now));
+    } else {
+        replace(board, entry.name, listed);
+    }
+}
+
+void target_controller::drop_unlisted(blackboard& board, const std::set<target_name>& listed,
+                                      const clock_reading& now)
+{
+    std::vector<target_name> vanished;
+    for (const auto& it : board.targets) {
+        if (it.value->listed && !listed.contains(it.key)) {
+            vanished.push_back(it.key);
+        }
+    }
+    for (const target_name& it : vanished) {
+        const target_state leaving = as_leaving(*board.targets.find(it), now);
+        replace(board, it, leaving.with([&now](target_state_fields& fields) {
+            fields.listed = false;
+            fields.stage_until = now.steady + removal_period;
+        }));
+    }
+}
+
+void target_controller::read_heartbeat(blackboard& board, const heartbeat& beat,
+                                       const clock_reading& now)
+{
+    for (const target_name& it : beat->leaving_targets) {
+        const target_state* known = board.targets.find(it);
+        if (known == nullptr || (*known)->stage == target_stage::leaving) {
+            continue;
+        }
+        replace(board, it, as_leaving(*known, now));
+    }
+}
+
+void target_controller::judge(blackboard& board, const exchange_finished& incoming,
+                              const clock_reading& now)
+{
+    const exchange_state* found = board.exchanges.find(incoming.exchange);
+    if (found == nullptr) {
+        return;
+    }
+    const exchange_state exchange = *found;
+    const auto* target = std::get_if<target_name>(&exchange->place);
+    const target_state* known = target == nullptr ? nullptr : board.targets.find(*target);
+    if (known == nullptr) {
+        return;
+    }
+    const target_state before = *known;
+    if (const auto* refused = std::get_if<target_refused>(&incoming.outcome)) {
+        const target_state after = refused->leaving
+                                       ? as_leaving(before, now).with([](target_state_fields& it) {
+                                             it.announced_leaving = true;
+                                         })
+                                       : after_busy(before, now);
+        replace(board, *target, after);
+        return;
+    }
+    const verdict result = verdict_of(exchange, incoming.outcome, now);
+    if (result == verdict::none) {
+        return;
+    }
+    const bool success = result == verdict::success;
+    count_outcome(board, success);
+    const target_state after = success
+                                   ? after_success(before, relative_run_time(exchange, now), now)
+                                   : after_failure(before);
+    if (after->stage == target_stage::leaving || after->stage == target_stage::ejected) {
+        replace(board, *target, after);
+        return;
+    }
+    const bool failed_probe = !success && after->stage == target_stage::probing;
+    const bool ejected = failed_probe || ejection_->should_eject(after, board, now);
+    replace(board, *target, ejected ? as_ejected(after, ejection_->probe_at(after, now)) : after);
+}
+
+void target_controller::count_outcome(const blackboard& board, bool success)
+{
+    zone_health health = board.health.get();
+    if (health.successes + health.failures >= most_zone_outcomes) {
+        health.successes /= 2;
+        health.failures /= 2;
+    }
+    ++(success ? health.successes : health.failures);
+    health_.put(health);
+}
+
+void target_controller::end_stage(blackboard& board, const target_name& target,
+                                  const clock_reading& now)
+{
+    const target_state before = *board.targets.find(target);
+    if (before->listed) {
+        replace(board, target, after_stage(before, now));
+        return;
+    }
+    const slot_usage* used = board.slots.find(target);
+    if (used == nullptr || used->total() == 0) {
+        erase(board, target);
+        return;
+    }
+    replace(board, target, before.with([&now](target_state_fields& it) {
+        it.stage_until = now.steady + removal_period;
+    }));
+}
+
+void target_controller::divide(blackboard& board, const clock_reading& now)
+{
+    target_division division = board.division.get();
+    std::vector<host_name> hosts = dispatching_hosts(board, now);
+    const bool changed = hosts != division.hosts;
+    division.hosts = std::move(hosts);
+    division.next_check = now.steady + division_period;
+    division_.put(division);
+    if (!changed) {
+        return;
+    }
+    std::vector<std::pair<target_name, target_state>> moved;
+    for (const auto& it : board.targets) {
+        const bool owned = owns(board, it.key);
+        if (owned == it.value->owned) {
+            continue;
+        }
+        const target_state after = with_owned(it.value, owned);
+        const bool in_use = after->stage == target_stage::healthy;
+        moved.emplace_back(it.key, owned && in_use ? as_careful(after, now) : after);
+    }
+    for (const auto& [name, after] : moved) {
+        replace(board, name, after);
+    }
+}
+
+void target_controller::replace(blackboard& board, const target_name& target,
+                                const target_state& after)
+{
+    const target_state* known = board.targets.find(target);
+    zone_health health = board.health.get();
+    bool changed = true;
+    if (known != nullptr) {
+        health.owned -= (*known)->owned ? 1U : 0U;
+        health.ejected -= (*known)->owned && is_ejected(*known) ? 1U : 0U;
+        changed = changes_index(*known, after);
+    }
+    health.owned += after->owned ? 1U : 0U;
+    health.ejected += after->owned && is_ejected(after) ? 1U : 0U;
+    health_.put(health);
+    targets_.put(target, after, after->stage_until);
+    if (changed) {
+        board.raised.post(target_changed{target});
+    }
+}
+
+void target_controller::erase(blackboard& board, const target_name& target)
+{
+    const target_state before = *board.targets.find(target);
+    zone_health health = board.health.get();
+    health.owned -= before->owned ? 1U : 0U;
+    health.ejected -= before->owned && is_ejected(before) ? 1U : 0U;
+    health_.put(health);
+    targets_.erase(target);
+    board.raised.post(target_changed{target});
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/controllers/target_index_writer.cpp
@@ -0,0 +1,99 @@
+#include "papayafall/core/controllers/target_index_writer.hpp"
+
+#include "papayafall/core/policies/rendezvous_hash.hpp"
+
+#include <algorithm>
+
+namespace papayafall {
+
+namespace {
+
+constexpr std::uint32_t normal_run_time = 1000;
+/// Speeds are compared in steps of this size, so that noise does not decide.
+constexpr std::uint32_t run_time_step = 500;
+
+std::uint32_t slowness(std::uint32_t relative_run_time)
+{
+    const std::uint32_t stepped = relative_run_time / run_time_step * run_time_step;
+    return std::max(stepped, normal_run_time);
+}
+
+std::uint32_t free_slots(const indexed_target& entry)
+{
+    return entry.usable - std::min(entry.usable, entry.used.total());
+}
+
+indexed_target make_entry(const blackboard& board, const target_state& target)
+{
+    const target_name& name = target->entry.name;
+    const slot_usage* found = board.slots.find(name);
+    const slot_usage used = found == nullptr ? slot_usage{} : *found;
+    const std::uint32_t usable = target->usable_slots;
+    const bool probing = target->stage == target_stage::probing;
+    const std::uint32_t load =
+        probing ? 0 : (used.total() + 1) * slowness(target->relative_run_time) / usable;
+    return indexed_target{.rank =
+                              target_rank{.full = used.total() >= usable,
+                                          .load = load,
+                                          .tie = rendezvous_weight(board.self.get()->host, name),
+                                          .target = name},
+                          .usable = usable,
+                          .used = used};
+}
+
+} // namespace
+
+target_index_writer::target_index_writer(blackboard& board)
+    : ranks_(board.targets_by_load.claim()), entries_(board.target_ranks.claim()),
+      totals_(board.totals.claim())
+{
+}
+
+void target_index_writer::refresh(const blackboard& board, const target_name& target)
+{
+    remove(board, target);
+    const target_state* state = board.targets.find(target);
+    if (state == nullptr || !(*state)->owned || (*state)->usable_slots == 0) {
+        return;
+    }
+    add(board, target);
+}
+
+void target_index_writer::count_start(const blackboard& board, const target_name& target)
+{
+    slot_totals totals = board.totals.get();
+    ++totals.starts;
+    totals.last_started = target;
+    totals_.put(totals);
+}
+
+void target_index_writer::remove(const blackboard& board, const target_name& target)
+{
+    const indexed_target* entry = board.target_ranks.find(target);
+    if (entry == nullptr) {
+        return;
+    }
+    slot_totals totals = board.totals.get();
+    totals.usable -= entry->usable;
+    totals.short_running -= entry->used.short_running;
+    totals.long_running -= entry->used.long_running;
+    totals.free -= free_slots(*entry);
+    totals_.put(totals);
+    ranks_.erase(entry->rank);
+    entries_.erase(target);
+}
+
+void target_index_writer::add(const blackboard& board, const target_name& target)
+{
+    const indexed_target entry = make_entry(board, *board.targets.find(target));
+    slot_totals totals = board.totals.get();
+    totals.usable += entry.usable;
+    totals.short_running += entry.used.short_running;
+    totals.long_running += entry.used.long_running;
+    totals.free += free_slots(entry);
+    totals_.put(totals);
+    ranks_.put(entry.rank, target);
+    entries_.put(target, entry);
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/policies/admission_policy.cpp
@@ -0,0 +1,246 @@
+#include "papayafall/core/policies/admission_policy.hpp"
+
+#include "papayafall/core/blackboard/blackboard.hpp"
+#include "papayafall/core/policies/peer_capacity.hpp"
+#include "papayafall/core/policies/run_time_estimator.hpp"
+#include "papayafall/core/policies/slot_policy.hpp"
+#include "papayafall/core/policies/slot_price.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+constexpr duration retry_pause = std::chrono::seconds(1);
+
+failure refuse(error_id id, std::string detail, time_point retry_at = no_deadline)
+{
+    return failure{
+        .id = id, .run = run_state::not_run, .detail = std::move(detail), .retry_at = retry_at};
+}
+
+/// One request against the blackboard; each `check_` member returns the refusal, if any.
+class evaluation {
+  public:
+    evaluation(const request& content, const blackboard& board, const clock_reading& now,
+               const run_time_estimator& run_times)
+        : content_(content), board_(board), now_(now.steady),
+          tasks_(static_cast<std::uint32_t>(content->tasks.size())),
+          spare_(spare_slots_of_peers(board, now))
+    {
+        const work_item sample(work_item_fields{
+            .service = content->service,
+            .team = content->team,
+            .declared_run_time =
+                content->tasks.empty() ? std::nullopt : content->tasks.front().declared_run_time});
+        expected_ = run_times.expected(sample, board);
+    }
+
+    std::optional<failure> run()
+    {
+        const auto& services = board_.current_configuration.get()->services;
+        const auto service = services.find(content_->service);
+        if (service == services.end()) {
+            return refuse(error_id::unknown_service,
+                          "no such service: " + content_->service.text());
+        }
+        const auto& teams = board_.current_configuration.get()->teams;
+        const auto team = teams.find(content_->team);
+        if (team == teams.end()) {
+            return refuse(error_id::unknown_team, "no such team: " + content_->team.text());
+        }
+        if (const auto* usage = board_.service_usages.find(content_->service)) {
+            service_usage_ = *usage;
+        }
+        if (const auto* usage = board_.team_usages.find(content_->team)) {
+            team_usage_ = *usage;
+        }
+        return first_refusal(service->second, team->second);
+    }
+
+  private:
+    std::optional<failure> first_refusal(const service_configuration& service,
+                                         const team_configuration& team) const
+    {
+        if (auto it = check_cost(service)) {
+            return it;
+        }
+        if (auto it = check_budget(service)) {
+            return it;
+        }
+        if (auto it = check_concurrency(service)) {
+            return it;
+        }
+        if (auto it = check_rates(service, team)) {
+            return it;
+        }
+        if (auto it = check_targets()) {
+            return it;
+        }
+        if (auto it = check_queue(service)) {
+            return it;
+        }
+        return check_wait();
+    }
+
+    std::optional<failure> check_cost(const service_configuration& service) const
+    {
+        if (!service.cost_per_request ||
+            price_of(service, expected_ * tasks_) <= *service.cost_per_request) {
+            return std::nullopt;
+        }
+        return refuse(error_id::budget_exceeded, "the request would cost more than its limit");
+    }
+
+    std::optional<failure> check_budget(const service_configuration& service) const
+    {
+        if (!service.budget_per_window) {
+            return std::nullopt;
+        }
+        const std::uint32_t open = service_usage_.open_tasks + tasks_;
+        const std::uint64_t committed = price_of(service, expected_ * open);
+        const std::uint64_t spent = service_usage_.spent_at(now_);
+        if (spent + committed <= share_of_limit(*service.budget_per_window, board_)) {
+            return std::nullopt;
+        }
+        const time_point next_window = now_ < service_usage_.window_end
+                                           ? service_usage_.window_end
+                                           : now_ + service.budget_window;
+        return refuse(error_id::budget_exceeded, "the budget of the service is spent", next_window);
+    }
+
+    std::optional<failure> check_concurrency(const service_configuration& service) const
+    {
+        if (!service.concurrency_limit) {
+            return std::nullopt;
+        }
+        const std::uint32_t share = share_of_limit(*service.concurrency_limit, board_);
+        const std::uint32_t open = service_usage_.open_tasks;
+        if (open + tasks_ <= share) {
+            return std::nullopt;
+        }
+        if (open == 0 && tasks_ <= *service.concurrency_limit) {
+            return std::nullopt; // a job that is larger than a share runs alone
+        }
+        return refuse(error_id::quota_exceeded, "the service has its limit of tasks in progress",
+                      now_ + expected_);
+    }
+
+    std::optional<failure> check_rates(const service_configuration& service,
+                                       const team_configuration& team) const
+    {
+        if (auto it = check_rate(service_usage_.rate, service.rate_limit, 1)) {
+            return it;
+        }
+        return check_rate(team_usage_.rate, team.rate_limit, tasks_);
+    }
+
+    std::optional<failure> check_rate(const rate_bucket& bucket,
+                                      const std::optional<std::uint32_t>& limit,
+                                      std::uint32_t count) const
+    {
+        if (!limit) {
+            return std::nullopt;
+        }
+        const std::uint32_t rate = share_of_limit(*limit, board_);
+        const time_point ready_at = bucket.refilled(rate, now_).ready_at(count, rate);
+        if (ready_at <= now_) {
+            return std::nullopt;
+        }
+        return refuse(error_id::rate_exceeded, "the rate limit is reached", ready_at);
+    }
+
+    std::optional<failure> check_targets() const
+    {
+        if (board_.totals->usable > 0 || spare_ > 0) {
+            return std::nullopt;
+        }
+        return refuse(error_id::no_target, "no target can take work", now_ + retry_pause);
+    }
+
+    std::optional<failure> check_queue(const service_configuration& service) const
+    {
+        const std::size_t waiting =
+            std::min<std::size_t>(service_usage_.open_tasks, board_.queue.size());
+        const std::uint32_t share = share_of_limit(service.queue_limit, board_);
+        if (waiting + tasks_ <= share || waiting == 0) {
+            return std::nullopt;
+        }
+        return refuse(error_id::overloaded, "the queue of the service is full", now_ + retry_pause);
+    }
+
+    std::optional<failure> check_wait() const
+    {
+        if (content_->deadline == no_deadline) {
+            return std::nullopt;
+        }
+        const time_point done_at = now_ + predicted_wait() + expected_;
+        if (done_at <= content_->deadline) {
+            return std::nullopt;
+        }
+        if (service_usage_.open_tasks == 0 && board_.queue.empty()) {
+            return std::nullopt; // shows whether the service is still as slow as it was
+        }
+        return refuse(error_id::overloaded, "the predicted wait passes the deadline",
+                      now_ + (done_at - content_->deadline));
+    }
+
+    duration predicted_wait() const
+    {
+        const slot_totals& totals = board_.totals.get();
+        const std::uint8_t lane = is_long(expected_) ? std::uint8_t{1} : std::uint8_t{0};
+        const auto urgency = static_cast<std::uint8_t>(content_->urgency);
+        const duration ahead = board_.waiting->work_ahead(lane, urgency);
+        const std::uint32_t free = totals.free + spare_;
+        if (ahead == duration{} && tasks_ <= free) {
+            return duration{};
+        }
+        const std::uint32_t slots = lane_slots(lane);
+        const duration pending = ahead + expected_ * tasks_;
+        return std::max(duration{}, (pending - expected_ * free) / slots);
+    }
+
+    /// Slots that serve the lane, at least 1.
+    std::uint32_t lane_slots(std::uint8_t lane) const
+    {
+        const slot_totals& totals = board_.totals.get();
+        const std::uint32_t own = lane == 0
+                                      ? totals.usable - std::min(totals.usable, totals.long_running)
+                                      : totals.usable / 2;
+        return std::max(own + spare_, std::uint32_t{1});
+    }
+
+    const request& content_;
+    const blackboard& board_;
+    time_point now_;
+    std::uint32_t tasks_;
+    std::uint32_t spare_;
+    duration expected_{};
+    service_usage service_usage_;
+    team_usage team_usage_;
+};
+
+} // namespace
+
+std::optional<failure> admit_all::evaluate(const request& /*content*/, const blackboard& /*board*/,
+                                           const clock_reading& /*now*/) const
+{
+    return std::nullopt;
+}
+
+predictive_admission::predictive_admission(std::shared_ptr<const run_time_estimator> run_times)
+    : run_times_(std::move(run_times))
+{
+}
+
+std::optional<failure> predictive_admission::evaluate(const request& content,
+                                                      const blackboard& board,
+                                                      const clock_reading& now) const
+{
+    return evaluation(content, board, now, *run_times_).run();
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/policies/retry_policy.cpp
@@ -0,0 +1,61 @@
+#include "papayafall/core/policies/retry_policy.hpp"
+
+#include "papayafall/core/blackboard/blackboard.hpp"
+
+#include <variant>
+
+namespace papayafall {
+
+namespace {
+
+/// First status by which a target says that it failed, not the request (HTTP 5xx).
+constexpr std::uint16_t first_server_error = 500;
+
+struct outcome_run_state {
+    run_state operator()(const target_refused& /*it*/) const { return run_state::not_run; }
+
+    run_state operator()(const not_sent& /*it*/) const { return run_state::not_run; }
+
+    run_state operator()(const connection_lost& /*it*/) const { return run_state::unknown; }
+
+    run_state operator()(const no_answer& /*it*/) const { return run_state::unknown; }
+
+    run_state operator()(const failure& it) const { return it.run; }
+
+    run_state operator()(const task_answer& /*it*/) const { return run_state::ran; }
+};
+
+bool has_failed(const exchange_outcome& outcome)
+{
+    const auto* result = std::get_if<task_answer>(&outcome);
+    return result == nullptr || result->status >= first_server_error;
+}
+
+} // namespace
+
+bool no_retry::may_retry(const exchange_state& /*attempt*/, const exchange_outcome& /*outcome*/,
+                         const blackboard& /*board*/, const clock_reading& /*now*/) const
+{
+    return false;
+}
+
+budgeted_retry::budgeted_retry(std::uint32_t most_attempts) : most_attempts_(most_attempts) {}
+
+bool budgeted_retry::may_retry(const exchange_state& attempt, const exchange_outcome& outcome,
+                               const blackboard& board, const clock_reading& now) const
+{
+    if (attempt->abandoned || !has_failed(outcome)) {
+        return false;
+    }
+    if (attempt->attempts >= most_attempts_ || attempt->work->deadline <= now.steady) {
+        return false;
+    }
+    const bool not_run = std::visit(outcome_run_state{}, outcome) == run_state::not_run;
+    if (!not_run && !(attempt->work->retryable && attempt->work->idempotent)) {
+        return false;
+    }
+    const bool first_refusal = not_run && attempt->attempts == 1;
+    return first_refusal || board.retries->covers_retry();
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/policies/slot_policy.cpp
@@ -0,0 +1,61 @@
+#include "papayafall/core/policies/slot_policy.hpp"
+
+#include "papayafall/core/blackboard/blackboard.hpp"
+
+#include <algorithm>
+
+namespace papayafall {
+
+namespace {
+
+constexpr std::uint64_t permille = 1000;
+constexpr std::uint8_t long_lane = 1;
+
+std::uint32_t share_of(std::uint32_t slots, std::uint32_t share_permille)
+{
+    const std::uint64_t share = std::uint64_t{slots} * share_permille / permille;
+    return std::max(static_cast<std::uint32_t>(share), std::uint32_t{1});
+}
+
+} // namespace
+
+bool unrestricted_slots::may_start(const queued_work& /*work*/, const blackboard& /*board*/,
+                                   const clock_reading& /*now*/) const
+{
+    return true;
+}
+
+time_point unrestricted_slots::long_from(duration /*expected_run_time*/,
+                                         time_point /*started_at*/) const
+{
+    return no_deadline;
+}
+
+long_work_share::long_work_share(std::uint32_t most_permille, std::uint32_t least_permille)
+    : most_permille_(most_permille), least_permille_(least_permille)
+{
+}
+
+bool long_work_share::may_start(const queued_work& work, const blackboard& board,
+                                const clock_reading& /*now*/) const
+{
+    const slot_totals& totals = board.totals.get();
+    if (is_long(work->expected_run_time)) {
+        return totals.long_running < share_of(totals.usable, most_permille_);
+    }
+    if (board.waiting->tasks(long_lane) == 0) {
+        return true;
+    }
+    const std::uint32_t kept = share_of(totals.usable, least_permille_);
+    if (totals.long_running >= kept) {
+        return true;
+    }
+    return totals.free > kept - totals.long_running;
+}
+
+time_point long_work_share::long_from(duration expected_run_time, time_point started_at) const
+{
+    return is_long(expected_run_time) ? started_at : started_at + long_run_time;
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/core/src/state/backlog.cpp
@@ -0,0 +1,53 @@
+#include "papayafall/core/state/backlog.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+
+#include <algorithm>
+
+namespace papayafall {
+
+backlog backlog::with_added(const queue_rank& rank, const queued_work& work) const
+{
+    backlog after = *this;
+    class_backlog& changed = after.classes_.at(class_of(rank));
+    ++changed.tasks;
+    changed.work += work->expected_run_time;
+    return after;
+}
+
+backlog backlog::with_removed(const queue_rank& rank, const queued_work& work) const
+{
+    backlog after = *this;
+    class_backlog& changed = after.classes_.at(class_of(rank));
+    ensure(changed.tasks > 0, "work leaves a class of the queue that holds some");
+    --changed.tasks;
+    changed.work -= work->expected_run_time;
+    return after;
+}
+
+duration backlog::work_ahead(std::uint8_t lane, std::uint8_t urgency) const
+{
+    duration sum{};
+    for (std::uint8_t it = 0; it <= urgency; ++it) {
+        sum += classes_.at(class_of(queue_rank{.lane = lane, .urgency = it})).work;
+    }
+    return sum;
+}
+
+std::uint32_t backlog::tasks(std::uint8_t lane) const
+{
+    std::uint32_t sum = 0;
+    for (std::uint8_t it = 0; it < urgency_count; ++it) {
+        sum += classes_.at(class_of(queue_rank{.lane = lane, .urgency = it})).tasks;
+    }
+    return sum;
+}
+
+std::size_t backlog::class_of(const queue_rank& rank)
+{
+    const std::size_t lane = std::min<std::size_t>(rank.lane, lane_count - 1);
+    const std::size_t urgency = std::min<std::size_t>(rank.urgency, urgency_count - 1);
+    return lane * urgency_count + urgency;
+}
+
+} // namespace papayafall
