--- /dev/null
+++ b/packages/platform/include/papayafall/platform/clock/clock_source.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "papayafall/core/values/clock_reading.hpp"
+
+namespace papayafall {
+
+/// Where a process reads its clocks. `read` may be called from any thread.
+class clock_source {
+  public:
+    clock_source() = default;
+    clock_source(const clock_source&) = delete;
+    clock_source& operator=(const clock_source&) = delete;
+    virtual ~clock_source() = default;
+
+    virtual clock_reading read() const = 0;
+};
+
+/// The clocks of the operating system: `std::chrono::steady_clock` and `system_clock`.
+class system_clock_source : public clock_source {
+  public:
+    clock_reading read() const override;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/platform/tests/support/test_application.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <QCoreApplication>
+
+#include <array>
+#include <string>
+
+namespace papayafall {
+
+/// Makes the application object that Qt's event loops need; one for each test program.
+inline void ensure_application()
+{
+    static int argc = 1;
+    static std::string name = "test";
+    static std::array<char*, 2> argv{name.data(), nullptr};
+    static const QCoreApplication application(argc, argv.data());
+}
+
+} // namespace papayafall
