--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -5,11 +5,19 @@
 #include "papayafall/core/blackboard/table.hpp"
 #include "papayafall/core/messages/action.hpp"
 #include "papayafall/core/messages/event.hpp"
+#include "papayafall/core/state/backlog.hpp"
+#include "papayafall/core/state/core_parameters.hpp"
+#include "papayafall/core/state/counters.hpp"
+#include "papayafall/core/state/delegation_state.hpp"
 #include "papayafall/core/state/queue_state.hpp"
+#include "papayafall/core/state/retry_budget.hpp"
+#include "papayafall/core/state/run_time_estimate.hpp"
 #include "papayafall/core/state/seat_state.hpp"
 #include "papayafall/core/state/self_state.hpp"
 #include "papayafall/core/state/submission_state.hpp"
+#include "papayafall/core/state/target_index.hpp"
 #include "papayafall/core/state/target_state.hpp"
+#include "papayafall/core/state/usage.hpp"
 
 namespace papayafall {
 
@@ -19,24 +27,52 @@
 /// reads every section. The blackboard belongs to the control thread alone.
 class blackboard {
   public:
-    explicit blackboard(const self_state& identity) : self(identity) {}
+    blackboard(const self_state& identity, core_parameters settings)
+        : parameters(std::move(settings)), self(identity)
+    {
+    }
 
-    // written by membership_controller
+    const core_parameters parameters;
+
+    // written by lifecycle_controller
     cell<self_state> self;
+    cell<bool> stopped; ///< `stop_process` was posted
+
+    // written by membership_controller
     table<host_name, host_state> hosts;
     cell<host_list_snapshot> host_list;
+    cell<heartbeat> own_heartbeat; ///< the last one sent
+    cell<time_point> heartbeat_due;
 
     // written by configuration_controller
     cell<configuration> current_configuration;
+    cell<bool> watching;
+    cell<time_point> fetch_due;
+
+    // written by status_controller
+    cell<time_point> status_due;
 
     // written by seat_controller
     cell<time_point> session_lease; ///< instant at which the platform session may lapse
     table<seat_id, seat_state> seats;
 
     // written by target_controller
-    table<target_name, target_state> targets;
+    table<target_name, target_state> targets; ///< of this host's zone
+    cell<zone_health> health;
+    cell<target_division> division;
+
+    // written by estimate_controller
+    table<service_name, run_time_estimate> run_times;
+
+    // written by limit_controller
+    table<service_name, service_usage> service_usages;
+    table<team_name, team_usage> team_usages;
+    table<submission_id, open_submission> open_submissions;
+    cell<duration> latest_virtual_start; ///< of all teams
 
     // written by submission_controller
+    cell<submission_numbers> submission_counters;
+    table<std::uint64_t, time_point> ticket_marks; ///< last ticket of each issue, until it expires
     table<submission_id, submission_state> submissions;
     table<request_key, submission_id> keys;
     table<call_id, submission_id> calls;
@@ -45,11 +81,21 @@
     table<correlation_id, forward_state> forwards;
 
     // written by scheduling_controller
+    cell<scheduling_numbers> scheduling_counters;
     table<queue_rank, queued_work> queue;
     table<work_owner, queue_rank> queued;
     table<exchange_id, exchange_state> exchanges;
     table<work_owner, exchange_id> running;
     table<target_name, slot_usage> slots;
+    table<exchange_id, time_point> overrun_checks; ///< instant from which each counts as long
+    cell<backlog> waiting;                         ///< sums over `queue`
+    cell<retry_budget> retries;
+    table<peer_id, delegation_state> delegations;
+
+    // written by scheduling_controller through a target_index_writer
+    table<target_rank, target_name> targets_by_load; ///< owned targets that may get work
+    table<target_name, indexed_target> target_ranks; ///< the same targets by name
+    cell<slot_totals> totals;
 
     // appended to by every controller, drained by the engine
     message_queue<event> raised;
