--- a/packages/daemon/include/papayafall/daemon/targets/target_traffic.hpp
+++ b/packages/daemon/include/papayafall/daemon/targets/target_traffic.hpp
@@ -31,10 +31,11 @@
 /// connection at once, whatever the number in progress at that target.
 class target_traffic : public action_sink {
   public:
+    /// @param clock the clock of the actions' deadlines; must outlive this object
     /// @param events learns how exchanges end; must outlive this object
     /// @param metrics gets the counters of exchanges and connections; must outlive this object
-    target_traffic(const target_traffic_options& options, event_sink& events,
-                   prometheus::Registry& metrics);
+    target_traffic(const target_traffic_options& options, const clock_source& clock,
+                   event_sink& events, prometheus::Registry& metrics);
 
     /// Stops the threads; exchanges in progress end without an event.
     ~target_traffic() override;
--- a/packages/daemon/src/targets/target_thread.cpp
+++ b/packages/daemon/src/targets/target_thread.cpp
@@ -1,13 +1,12 @@
 #include "target_thread.hpp"
 
 #include "papayafall/daemon/targets/target_protocol.hpp"
-#include "papayafall/platform/http/steady_now.hpp"
 
 namespace papayafall::detail {
 
-target_worker::target_worker(const http_client_options& options, event_sink& events,
-                             target_metrics& metrics)
-    : events_(&events), metrics_(&metrics), client_(options, *this)
+target_worker::target_worker(const http_client_options& options, const clock_source& clock,
+                             event_sink& events, target_metrics& metrics)
+    : clock_(&clock), events_(&events), metrics_(&metrics), client_(options, clock, *this)
 {
 }
 
@@ -24,7 +23,7 @@
 {
     metrics_->on_started();
     client_.post(http_call_id(requested.exchange.value()),
-                 encode_exchange(requested, steady_now()));
+                 encode_exchange(requested, clock_->read().steady));
 }
 
 void target_worker::on_finished(http_call_id call, const http_outcome& outcome)
@@ -38,8 +37,8 @@
         exchange_finished{.exchange = exchange_id(call.value()), .outcome = std::move(result)});
 }
 
-target_thread::target_thread(const http_client_options& options, event_sink& events,
-                             target_metrics& metrics)
+target_thread::target_thread(const http_client_options& options, const clock_source& clock,
+                             event_sink& events, target_metrics& metrics)
     : actions_([this] {
           QMetaObject::invokeMethod(
               &context_, [this] { drain(); }, Qt::QueuedConnection);
@@ -50,8 +49,8 @@
     thread_.start();
     QMetaObject::invokeMethod(
         &context_,
-        [this, &options, &events, &metrics] {
-            worker_ = std::make_unique<target_worker>(options, events, metrics);
+        [this, &options, &clock, &events, &metrics] {
+            worker_ = std::make_unique<target_worker>(options, clock, events, metrics);
         },
         Qt::BlockingQueuedConnection);
 }
--- a/packages/daemon/src/targets/target_thread.hpp
+++ b/packages/daemon/src/targets/target_thread.hpp
@@ -14,7 +14,8 @@
 /// into events.
 class target_worker : public QObject, public http_observer {
   public:
-    target_worker(const http_client_options& options, event_sink& events, target_metrics& metrics);
+    target_worker(const http_client_options& options, const clock_source& clock, event_sink& events,
+                  target_metrics& metrics);
 
     void handle(const action& requested);
 
@@ -23,6 +24,7 @@
   private:
     void start(const start_exchange& requested);
 
+    const clock_source* clock_;
     event_sink* events_;
     target_metrics* metrics_;
     http_client client_;
@@ -32,7 +34,8 @@
 /// A traffic thread with an event loop and a mailbox.
 class target_thread {
   public:
-    target_thread(const http_client_options& options, event_sink& events, target_metrics& metrics);
+    target_thread(const http_client_options& options, const clock_source& clock, event_sink& events,
+                  target_metrics& metrics);
     target_thread(const target_thread&) = delete;
     target_thread& operator=(const target_thread&) = delete;
     ~target_thread();
--- a/packages/daemon/src/targets/target_traffic.cpp
+++ b/packages/daemon/src/targets/target_traffic.cpp
@@ -16,13 +16,13 @@
 
 } // namespace
 
-target_traffic::target_traffic(const target_traffic_options& options, event_sink& events,
-                               prometheus::Registry& metrics)
+target_traffic::target_traffic(const target_traffic_options& options, const clock_source& clock,
+                               event_sink& events, prometheus::Registry& metrics)
     : metrics_(std::make_unique<detail::target_metrics>(metrics))
 {
     for (std::size_t n = 0; n < options.threads; ++n) {
         threads_.push_back(
-            std::make_unique<detail::target_thread>(options.http, events, *metrics_));
+            std::make_unique<detail::target_thread>(options.http, clock, events, *metrics_));
     }
 }
 
--- a/packages/daemon/tests/targets/unit-target-traffic.cpp
+++ b/packages/daemon/tests/targets/unit-target-traffic.cpp
@@ -1,8 +1,6 @@
 #include "papayafall/daemon/targets/target_traffic.hpp"
-#include "papayafall/platform/http/steady_now.hpp"
 #include "support/stand_in_target.hpp"
-
-#include <QCoreApplication>
+#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <prometheus/text_serializer.h>
@@ -54,13 +52,6 @@
     std::size_t ends_ = 0;
 };
 
-void ensure_application()
-{
-    static int argc = 0;
-    static const auto* const application = new QCoreApplication(argc, nullptr);
-    static_cast<void>(application);
-}
-
 class target_traffic_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(target_traffic_test);
     CPPUNIT_TEST(task_runs_once_and_its_answer_returns);
@@ -84,8 +75,8 @@
         metrics_ = std::make_unique<prometheus::Registry>();
         targets_ =
             std::make_unique<stand_in_targets>(2, stand_in_options{.slots = 8, .run_time = 1ms});
-        traffic_ = std::make_unique<target_traffic>(target_traffic_options{.threads = 2}, *events_,
-                                                    *metrics_);
+        traffic_ = std::make_unique<target_traffic>(target_traffic_options{.threads = 2}, clock_,
+                                                    *events_, *metrics_);
     }
 
     void tearDown() override
@@ -222,7 +213,7 @@
             .address = {.address = "127.0.0.1", .port = port ? *port : targets_->port()},
             .work =
                 work_item(work_item_fields{.service = service_name("quote"), .body = bytes(body)}),
-            .deadline = steady_now() + time_limit});
+            .deadline = clock_.read().steady + time_limit});
         return last_;
     }
 
@@ -234,6 +225,7 @@
         return events_->outcome(id);
     }
 
+    system_clock_source clock_;
     std::unique_ptr<event_recorder> events_;
     std::unique_ptr<prometheus::Registry> metrics_;
     std::unique_ptr<stand_in_targets> targets_;
--- a/packages/platform/include/papayafall/platform/http/http_client.hpp
+++ b/packages/platform/include/papayafall/platform/http/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
 #include "papayafall/platform/http/connection_pool.hpp"
 #include "papayafall/platform/http/http_message.hpp"
 
@@ -64,7 +65,9 @@
 /// compression are off.
 class http_client : public QObject {
   public:
-    http_client(const http_client_options& options, http_observer& observer);
+    /// @param clock the clock of the requests' deadlines
+    http_client(const http_client_options& options, const clock_source& clock,
+                http_observer& observer);
     ~http_client() override;
 
     /// Sends `request`; the observer learns how it ends.
@@ -87,7 +90,10 @@
     void finish(detail::http_call& call, const http_outcome& outcome);
     void schedule();
 
+    time_point now() const { return clock_->read().steady; }
+
     http_client_options options_;
+    const clock_source* clock_;
     http_observer* observer_;
     connection_pool pool_;
     std::unique_ptr<detail::http_call_table> calls_;
--- a/packages/platform/src/http/http_client.cpp
+++ b/packages/platform/src/http/http_client.cpp
@@ -1,7 +1,6 @@
 #include "papayafall/platform/http/http_client.hpp"
 
 #include "http_call.hpp"
-#include "papayafall/platform/http/steady_now.hpp"
 
 #include <QNetworkProxy>
 #include <QNetworkRequest>
@@ -147,8 +146,9 @@
 
 } // namespace
 
-http_client::http_client(const http_client_options& options, http_observer& observer)
-    : options_(options), observer_(&observer), pool_(options.idle_limit),
+http_client::http_client(const http_client_options& options, const clock_source& clock,
+                         http_observer& observer)
+    : options_(options), clock_(&clock), observer_(&observer), pool_(options.idle_limit),
       calls_(std::make_unique<detail::http_call_table>())
 {
     manager_.setProxy(QNetworkProxy::NoProxy);
@@ -170,10 +170,10 @@
 
 void http_client::post(http_call_id call, const http_request& request)
 {
-    const time_point now = steady_now();
-    const time_point connected_by = now + options_.connect_limit;
+    const time_point started_at = now();
+    const time_point connected_by = started_at + options_.connect_limit;
     const detail::http_call_ptr it(
-        new detail::http_call(call, request, pool_.acquire(request->server, now),
+        new detail::http_call(call, request, pool_.acquire(request->server, started_at),
                               std::min(connected_by, request->deadline)));
     auto* body = new one_shot_body(request->body);
     it->attach(manager_.post(make_request(*it, options_.idle_limit), body), body);
@@ -213,7 +213,7 @@
     const bool whole = it->reply->error() != QNetworkReply::ContentReSendError &&
                        std::holds_alternative<http_response>(outcome);
     if (whole) {
-        pool_.release(it->request->server, it->connection, steady_now());
+        pool_.release(it->request->server, it->connection, now());
     }
     finish(*it, outcome);
 }
@@ -228,9 +228,9 @@
 
 void http_client::on_timeout()
 {
-    const time_point now = steady_now();
-    for (auto it = calls_->first_due(); it && it->due <= now; it = calls_->first_due()) {
-        if (it->request->deadline > now && !it->unsent()) {
+    const time_point checked_at = now();
+    for (auto it = calls_->first_due(); it && it->due <= checked_at; it = calls_->first_due()) {
+        if (it->request->deadline > checked_at && !it->unsent()) {
             calls_->postpone(*it, it->request->deadline);
             continue;
         }
@@ -269,7 +269,7 @@
         return;
     }
     wakes_at_ = first->due;
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(first->due - steady_now());
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(first->due - now());
     timer_.start(std::max(wait, timer_resolution));
 }
 
--- a/packages/platform/tests/http/unit-http-client.cpp
+++ b/packages/platform/tests/http/unit-http-client.cpp
@@ -1,7 +1,7 @@
 #include "papayafall/platform/http/http_client.hpp"
-#include "papayafall/platform/http/steady_now.hpp"
 #include "support/event_loop.hpp"
 #include "support/scripted_server.hpp"
+#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -253,7 +253,7 @@
   private:
     void make_client(const http_client_options& options)
     {
-        client_ = std::make_unique<http_client>(options, *recorder_);
+        client_ = std::make_unique<http_client>(options, clock_, *recorder_);
     }
 
     http_call_id post(const std::string& body, duration time_limit,
@@ -266,7 +266,7 @@
                                  .path = "/v1/run/quote",
                                  .headers = {{.name = "Papayafall-Exchange", .value = "7"}},
                                  .body = bytes(body),
-                                 .deadline = steady_now() + time_limit}));
+                                 .deadline = clock_.read().steady + time_limit}));
         return last_;
     }
 
@@ -291,6 +291,7 @@
                              static_cast<int>(std::get<http_failure>(outcome)));
     }
 
+    system_clock_source clock_;
     std::unique_ptr<scripted_server> server_;
     std::unique_ptr<outcome_recorder> recorder_;
     std::unique_ptr<http_client> client_;
