--- a/packages/core/include/papayafall/core/membership/live_hosts.hpp
+++ b/packages/core/include/papayafall/core/membership/live_hosts.hpp
@@ -4,7 +4,6 @@
 #include "papayafall/core/values/host.hpp"
 #include "papayafall/core/values/time.hpp"
 
-#include <string_view>
 #include <vector>
 
 namespace papayafall {
@@ -19,9 +18,4 @@
 /// unless it is leaving. Complexity: linear in the number of known hosts.
 std::vector<host_name> live_zone_hosts(const blackboard& board, time_point now);
 
-/// The host among `candidates` with the highest rendezvous weight for `item`.
-/// @param candidates at least one name
-/// Complexity: linear in the number of candidates.
-const host_name& rendezvous_choice(const std::vector<host_name>& candidates, std::string_view item);
-
 } // namespace papayafall
--- a/packages/core/src/controllers/seat_controller.cpp
+++ b/packages/core/src/controllers/seat_controller.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/controllers/seat_controller.hpp"
 
 #include "papayafall/core/membership/live_hosts.hpp"
+#include "papayafall/core/policies/rendezvous_hash.hpp"
 
 #include <algorithm>
 #include <string>
@@ -23,7 +24,8 @@
 {
     const std::vector<host_name> names = live_zone_hosts(board, now);
     const std::string item = seat.zone.text() + "/" + std::to_string(seat.number);
-    return !names.empty() && rendezvous_choice(names, item) == board.self.get()->host;
+    const host_name* owner = rendezvous_owner(names, item);
+    return owner != nullptr && *owner == board.self.get()->host;
 }
 
 /// First instant after which no key can have been started by an earlier holder.
--- a/packages/core/src/controllers/target_controller.cpp
+++ b/packages/core/src/controllers/target_controller.cpp
@@ -112,7 +112,7 @@
 
 bool owns(const blackboard& board, const target_name& target)
 {
-    const host_name* owner = rendezvous_owner(board.division->hosts, target);
+    const host_name* owner = rendezvous_owner(board.division->hosts, target.text());
     return owner != nullptr && *owner == board.self.get()->host;
 }
 
--- a/packages/core/src/controllers/target_index_writer.cpp
+++ b/packages/core/src/controllers/target_index_writer.cpp
@@ -32,13 +32,13 @@
     const bool probing = target->stage == target_stage::probing;
     const std::uint32_t load =
         probing ? 0 : (used.total() + 1) * slowness(target->relative_run_time) / usable;
-    return indexed_target{.rank =
-                              target_rank{.full = used.total() >= usable,
-                                          .load = load,
-                                          .tie = rendezvous_weight(board.self.get()->host, name),
-                                          .target = name},
-                          .usable = usable,
-                          .used = used};
+    return indexed_target{
+        .rank = target_rank{.full = used.total() >= usable,
+                            .load = load,
+                            .tie = rendezvous_weight(board.self.get()->host, name.text()),
+                            .target = name},
+        .usable = usable,
+        .used = used};
 }
 
 } // namespace
--- a/packages/core/src/membership/live_hosts.cpp
+++ b/packages/core/src/membership/live_hosts.cpp
@@ -1,7 +1,5 @@
 #include "papayafall/core/membership/live_hosts.hpp"
 
-#include "papayafall/core/values/stable_hash.hpp"
-
 #include <algorithm>
 
 namespace papayafall {
@@ -38,15 +36,4 @@
     return names;
 }
 
-const host_name& rendezvous_choice(const std::vector<host_name>& candidates, std::string_view item)
-{
-    const auto weight = [item](const host_name& it) {
-        return stable_hash(it.text(), stable_hash(item));
-    };
-    return *std::max_element(candidates.begin(), candidates.end(),
-                             [&weight](const host_name& lhs, const host_name& rhs) {
-                                 return weight(lhs) < weight(rhs);
-                             });
-}
-
 } // namespace papayafall
