Let the scheduler's index and backlog be checked, and use one rendezvous hash

The heartbeat takes the free slots from the totals in place of a scan over the targets, and names only targets that told this host themselves that they leave: two hosts would otherwise renew each other's word without end.

--- a/packages/core/src/blackboard/blackboard.cpp
+++ b/packages/core/src/blackboard/blackboard.cpp
@@ -4,8 +4,41 @@
 
 namespace papayafall {
 
+namespace {
+
+void check_target_index(const blackboard& board)
+{
+    ensure(board.targets_by_load.size() == board.target_ranks.size(),
+           "both orders of the target index hold the same targets");
+    slot_totals sums;
+    for (const auto& it : board.target_ranks) {
+        const target_name* ranked = board.targets_by_load.find(it.value.rank);
+        ensure(ranked != nullptr && *ranked == it.key, "a target and its rank name each other");
+        sums.usable += it.value.usable;
+        sums.short_running += it.value.used.short_running;
+        sums.long_running += it.value.used.long_running;
+    }
+    const slot_totals& totals = board.totals.get();
+    ensure(sums.usable == totals.usable && sums.short_running == totals.short_running &&
+               sums.long_running == totals.long_running,
+           "the slot totals are the sums over the target index");
+}
+
+void check_backlog(const blackboard& board)
+{
+    std::size_t tasks = 0;
+    for (std::uint8_t lane = 0; lane < lane_count; ++lane) {
+        tasks += board.waiting->tasks(lane);
+    }
+    ensure(tasks == board.queue.size(), "the backlog counts each queued task once");
+}
+
+} // namespace
+
 void blackboard::check_invariants() const
 {
+    check_target_index(*this);
+    check_backlog(*this);
     hosts.check_invariants();
     seats.check_invariants();
     targets.check_invariants();
--- a/packages/core/src/controllers/membership_controller.cpp
+++ b/packages/core/src/controllers/membership_controller.cpp
@@ -12,20 +12,6 @@
 /// Peers that get a heartbeat in each period; further ones take turns.
 constexpr std::size_t max_heartbeat_peers = 12;
 
-std::uint32_t free_slots(const blackboard& board)
-{
-    std::uint32_t count = 0;
-    for (const auto& it : board.targets) {
-        if (!it.value->owned) {
-            continue;
-        }
-        const slot_usage* used = board.slots.find(it.key);
-        const std::uint32_t busy = used == nullptr ? 0 : used->total();
-        count += it.value->usable_slots > busy ? it.value->usable_slots - busy : 0;
-    }
-    return count;
-}
-
 std::vector<seat_id> homing_seats(const blackboard& board, time_point now)
 {
     std::vector<seat_id> seats;
@@ -41,11 +27,13 @@
     return seats;
 }
 
+/// Targets that told this host so themselves: what a peer told is not passed on, or two hosts
+/// would go on telling each other.
 std::vector<target_name> leaving_targets(const blackboard& board)
 {
     std::vector<target_name> names;
     for (const auto& it : board.targets) {
-        if (it.value->stage != target_stage::leaving || it.value->entry.leaving) {
+        if (!it.value->announced_leaving) {
             continue;
         }
         names.push_back(it.key);
@@ -64,7 +52,7 @@
         .link = self->link,
         .datagrams = self->datagrams,
         .revision = board.current_configuration.get()->revision,
-        .free_slots = free_slots(board),
+        .free_slots = board.totals->free,
         .queued_tasks = static_cast<std::uint32_t>(board.queue.size()),
         .leaving = self->leaving,
         .seats = homing_seats(board, now),
--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -316,6 +316,7 @@
                                             const target_name& target, const clock_reading& now)
 {
     const exchange_id exchange = record(board, work, target, now);
+    index_.count_start(board, target);
     const target_state& state = *board.targets.find(target);
     board.outbox.post(
         start_exchange{exchange, target, state->entry.address, work->work, work->work->deadline});
--- a/packages/core/src/controllers/target_controller.cpp
+++ b/packages/core/src/controllers/target_controller.cpp
@@ -1,7 +1,7 @@
 #include "papayafall/core/controllers/target_controller.hpp"
 
 #include "papayafall/core/controllers/target_transitions.hpp"
-#include "papayafall/core/policies/rendezvous_hash.hpp"
+#include "papayafall/core/membership/live_hosts.hpp"
 
 #include <algorithm>
 #include <set>
@@ -91,29 +91,23 @@
     return known > 0 && (listed.empty() || 2 * missing > known);
 }
 
-/// This host and its live peers of the zone. A leaving host counts only for itself, so that it
+/// The live hosts of the zone and this one. A leaving host counts only for itself, so that it
 /// can finish what it accepted.
 std::vector<host_name> dispatching_hosts(const blackboard& board, const clock_reading& now)
 {
-    std::vector<host_name> names{board.self.get()->host};
-    for (const auto& it : board.hosts) {
-        const heartbeat& beat = it.value->last;
-        if (beat->zone != board.self.get()->zone || beat->leaving ||
-            it.value->alive_until <= now.steady) {
-            continue;
-        }
-        names.push_back(beat->host);
+    std::vector<host_name> names = live_zone_hosts(board, now.steady);
+    const host_name& self = board.self.get()->host;
+    const auto place = std::ranges::lower_bound(names, self);
+    if (place == names.end() || *place != self) {
+        names.insert(place, self);
     }
-    std::ranges::sort(names);
-    const auto repeated = std::ranges::unique(names);
-    names.erase(repeated.begin(), repeated.end());
     return names;
 }
 
 bool owns(const blackboard& board, const target_name& target)
 {
-    const host_name* owner = rendezvous_owner(board.division->hosts, target);
-    return owner != nullptr && *owner == board.self.get()->host;
+    const std::vector<host_name>& hosts = board.division->hosts;
+    return !hosts.empty() && rendezvous_choice(hosts, target.text()) == board.self.get()->host;
 }
 
 target_state with_owned(const target_state& target, bool owned)
--- a/packages/core/src/controllers/target_index_writer.cpp
+++ b/packages/core/src/controllers/target_index_writer.cpp
@@ -1,6 +1,6 @@
 #include "papayafall/core/controllers/target_index_writer.hpp"
 
-#include "papayafall/core/policies/rendezvous_hash.hpp"
+#include "papayafall/core/values/stable_hash.hpp"
 
 #include <algorithm>
 
@@ -32,13 +32,14 @@
     const bool probing = target->stage == target_stage::probing;
     const std::uint32_t load =
         probing ? 0 : (used.total() + 1) * slowness(target->relative_run_time) / usable;
-    return indexed_target{.rank =
-                              target_rank{.full = used.total() >= usable,
-                                          .load = load,
-                                          .tie = rendezvous_weight(board.self.get()->host, name),
-                                          .target = name},
-                          .usable = usable,
-                          .used = used};
+    return indexed_target{
+        .rank =
+            target_rank{.full = used.total() >= usable,
+                        .load = load,
+                        .tie = stable_hash(name.text(), stable_hash(board.self.get()->host.text())),
+                        .target = name},
+        .usable = usable,
+        .used = used};
 }
 
 } // namespace
--- a/packages/core/src/policies/target_selector.cpp
+++ b/packages/core/src/policies/target_selector.cpp
@@ -1,7 +1,7 @@
 #include "papayafall/core/policies/target_selector.hpp"
 
 #include "papayafall/core/blackboard/blackboard.hpp"
-#include "papayafall/core/policies/rendezvous_hash.hpp"
+#include "papayafall/core/values/stable_hash.hpp"
 
 #include <iterator>
 #include <string>
