--- /dev/null
+++ b/packages/core/tests/bench/policy-comparison.cpp
@@ -0,0 +1,148 @@
+#include "bench/simulation.hpp"
+
+#include <cstdio>
+#include <limits>
+
+// Compares the policies and their baselines in virtual time: one engine with its real controllers
+// against simulated targets. The same seed gives the same figures on every machine.
+
+using namespace papayafall;
+using namespace papayafall::bench;
+
+namespace {
+
+constexpr std::uint32_t seed = 20261204;
+constexpr time_point warm_from{std::chrono::seconds(20)};
+constexpr double never = std::numeric_limits<double>::infinity();
+
+double seconds(duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto rank = static_cast<std::size_t>(share * static_cast<double>(values.size()));
+    return values[std::min(rank, values.size() - 1)];
+}
+
+/// Short requests of one part of a run.
+struct part {
+    std::vector<double> response; ///< in seconds; `never` where no useful answer came
+    std::vector<double> ideal;
+    std::vector<double> wait; ///< response less ideal, of the useful answers
+    std::size_t refused = 0;
+    std::size_t late = 0;
+    std::size_t useful = 0;
+
+    double over_ideal(double share) const
+    {
+        return percentile(response, share) / percentile(ideal, share);
+    }
+
+    double mean_wait() const
+    {
+        double sum = 0;
+        for (const double it : wait) {
+            sum += it;
+        }
+        return wait.empty() ? 0 : sum / static_cast<double>(wait.size());
+    }
+};
+
+part collect(const run_result& result, const load_shape& shape, bool crest)
+{
+    part collected;
+    for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
+        const arrival& from = result.arrivals[n];
+        if (from.service->long_work || from.at < warm_from || shape.is_crest(from.at) != crest) {
+            continue;
+        }
+        const request_outcome& outcome = result.outcomes[n];
+        collected.ideal.push_back(seconds(from.run_time));
+        if (!outcome.useful) {
+            collected.response.push_back(never);
+            ++(outcome.refused ? collected.refused : collected.late);
+            continue;
+        }
+        const double response = seconds(outcome.answered_at - from.at);
+        collected.response.push_back(response);
+        collected.wait.push_back(response - seconds(from.run_time));
+        ++collected.useful;
+    }
+    return collected;
+}
+
+/// Slot time of the useful answers that came in crests, over the capacity of these crests.
+double useful_share(const run_result& result, const load_shape& shape, std::uint32_t slots)
+{
+    double useful = 0;
+    for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
+        const request_outcome& outcome = result.outcomes[n];
+        if (!outcome.useful || outcome.answered_at < warm_from ||
+            !shape.is_crest(outcome.answered_at)) {
+            continue;
+        }
+        useful += seconds(result.arrivals[n].run_time);
+    }
+    const auto crests = (shape.end - warm_from.time_since_epoch()) / shape.period;
+    return useful / (static_cast<double>(crests) * seconds(shape.crest) * slots);
+}
+
+std::string ratio(double it)
+{
+    if (it == never) {
+        return "never";
+    }
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", it);
+    return text.data();
+}
+
+void print_part(const char* label, const part& it)
+{
+    std::printf("    %-6s p50 %6s  p99 %6s  p99.9 %6s of ideal; wait mean %7.1f ms p99 %7.1f ms; "
+                "useful %zu refused %zu late or failed %zu\n",
+                label, ratio(it.over_ideal(0.5)).c_str(), ratio(it.over_ideal(0.99)).c_str(),
+                ratio(it.over_ideal(0.999)).c_str(), 1000 * it.mean_wait(),
+                1000 * percentile(it.wait, 0.99), it.useful, it.refused, it.late);
+}
+
+void compare(const char* title, const load_shape& shape, const target_plan& plan)
+{
+    std::printf("%s\n", title);
+    const std::vector<arrival> arrivals = make_arrivals(shape, plan.slots(), seed);
+    for (const policy_set& it : all_sets()) {
+        const run_result result = simulation(it, plan, arrivals).run();
+        std::size_t useful = 0;
+        for (const request_outcome& outcome : result.outcomes) {
+            useful += outcome.useful ? 1 : 0;
+        }
+        const double wasted = static_cast<double>(result.starts) / static_cast<double>(useful) - 1;
+        std::printf("  %-18s wasted messages per useful one %.4f; useful work at the crest %.3f "
+                    "of capacity\n",
+                    it.name.c_str(), wasted, useful_share(result, shape, plan.slots()));
+        print_part("calm", collect(result, shape, false));
+        print_part("crest", collect(result, shape, true));
+    }
+}
+
+} // namespace
+
+int main()
+{
+    compare("short work, crest at 0.8 of capacity", {}, {});
+    compare("short work, crest at 0.9 of capacity", {.calm_load = 0.225, .crest_load = 0.9}, {});
+    compare("short work at 0.15 and 0.6 with long work at 0.35 of capacity",
+            {.calm_load = 0.15, .crest_load = 0.6, .with_long_work = true}, {});
+    compare("short work, crest at 1.6 of capacity", {.calm_load = 0.4, .crest_load = 1.6}, {});
+    compare("short work, crest at 0.6 of capacity, one target of 8 fails everything",
+            {.calm_load = 0.15, .crest_load = 0.6}, {.failing = 1});
+    compare("short work, crest at 0.6 of capacity, one target of 8 five times slower",
+            {.calm_load = 0.15, .crest_load = 0.6}, {.straggling = 1});
+    return 0;
+}
--- /dev/null
+++ b/packages/core/tests/bench/simulation.hpp
@@ -0,0 +1,234 @@
+#pragma once
+
+#include "bench/fake_target.hpp"
+#include "bench/policy_set.hpp"
+#include "bench/workload.hpp"
+#include "papayafall/core/controllers/configuration_controller.hpp"
+#include "papayafall/core/controllers/estimate_controller.hpp"
+#include "papayafall/core/controllers/lifecycle_controller.hpp"
+#include "papayafall/core/controllers/limit_controller.hpp"
+#include "papayafall/core/controllers/membership_controller.hpp"
+#include "papayafall/core/controllers/submission_controller.hpp"
+#include "papayafall/core/controllers/target_controller.hpp"
+#include "papayafall/core/engine/engine.hpp"
+
+#include <map>
+#include <optional>
+#include <queue>
+#include <tuple>
+
+namespace papayafall::bench {
+
+/// The targets of one run.
+struct target_plan {
+    std::uint32_t count = 8;
+    std::uint32_t slots_each = 8;
+    std::uint32_t failing = 0;    ///< fail everything they start, at once
+    std::uint32_t straggling = 0; ///< run five times slower
+
+    std::uint32_t slots() const { return count * slots_each; }
+};
+
+/// What became of one request.
+struct request_outcome {
+    bool useful = false;
+    bool refused = false; ///< at the door
+    time_point answered_at = no_deadline;
+};
+
+struct run_result {
+    std::vector<arrival> arrivals;
+    std::vector<request_outcome> outcomes; ///< one for each arrival
+    std::uint64_t starts = 0;              ///< messages that carried a task to a target
+};
+
+inline std::unique_ptr<engine> make_engine(const policy_set& policies)
+{
+    const zone_name zone("zone-a");
+    auto board = std::make_unique<blackboard>(
+        self_state(self_state_fields{.host = host_name("entry-1"), .zone = zone}),
+        core_parameters());
+    std::vector<std::unique_ptr<controller>> controllers;
+    controllers.push_back(std::make_unique<lifecycle_controller>(*board));
+    controllers.push_back(std::make_unique<membership_controller>(*board));
+    controllers.push_back(std::make_unique<configuration_controller>(*board));
+    controllers.push_back(std::make_unique<target_controller>(*board, policies.ejection));
+    controllers.push_back(std::make_unique<estimate_controller>(*board));
+    controllers.push_back(
+        std::make_unique<limit_controller>(*board, policies.scheduling.run_times));
+    controllers.push_back(std::make_unique<submission_controller>(*board, policies.admission));
+    controllers.push_back(std::make_unique<scheduling_controller>(*board, policies.scheduling));
+    return std::make_unique<engine>(std::move(board), std::move(controllers));
+}
+
+/// Runs one engine with its real controllers against targets that are functions of virtual time.
+class simulation {
+  public:
+    simulation(const policy_set& policies, const target_plan& plan, std::vector<arrival> arrivals)
+        : policies_(policies), plan_(plan), engine_(make_engine(policies))
+    {
+        result_.arrivals = std::move(arrivals);
+        result_.outcomes.resize(result_.arrivals.size());
+    }
+
+    run_result run()
+    {
+        set_up();
+        for (std::size_t n = 0; n < result_.arrivals.size(); ++n) {
+            steps_.push({result_.arrivals[n].at, next_step_++, arrive{n}});
+        }
+        const time_point end = result_.arrivals.back().at + tail;
+        for (time_point at = first_arrival; at < end; at += tick_period) {
+            steps_.push({at, next_step_++, tick{}});
+        }
+        while (!steps_.empty()) {
+            const step next = steps_.top();
+            steps_.pop();
+            now_ = next.at;
+            std::visit([this](const auto& it) { apply(it); }, next.what);
+            carry_out();
+        }
+        return std::move(result_);
+    }
+
+  private:
+    static constexpr duration tick_period = std::chrono::milliseconds(20);
+    static constexpr duration tail = std::chrono::seconds(200);
+    static constexpr time_point first_arrival{};
+
+    struct arrive {
+        std::size_t index;
+    };
+
+    struct tick {};
+
+    struct finish {
+        target_name target;
+        exchange_id exchange;
+    };
+
+    struct time_out {
+        exchange_id exchange;
+    };
+
+    struct step {
+        time_point at;
+        std::uint64_t sequence;
+        std::variant<arrive, tick, finish, time_out> what;
+
+        bool operator<(const step& other) const
+        {
+            return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+        }
+    };
+
+    clock_reading reading() const { return {now_, wall_time{}}; }
+
+    void deliver(const event& it) { engine_->handle(it, reading()); }
+
+    void set_up()
+    {
+        host_list_fields list;
+        for (std::uint32_t n = 0; n < plan_.count; ++n) {
+            const target_name name("target-" + std::to_string(n));
+            const bool fails = n < plan_.failing;
+            const bool straggles = !fails && n < plan_.failing + plan_.straggling;
+            targets_.try_emplace(name, plan_.slots_each, straggles ? 5.0 : 1.0, fails,
+                                 policies_.targets_queue);
+            list.targets.push_back({.name = name,
+                                    .zone = zone_name("zone-a"),
+                                    .address = {},
+                                    .slots = plan_.slots_each});
+        }
+        deliver(host_list_received{host_list_snapshot(list)});
+        deliver(configuration_received{make_configuration()});
+        carry_out();
+    }
+
+    void apply(const arrive& it)
+    {
+        const arrival& from = result_.arrivals[it.index];
+        deliver(request_received{
+            call_id(it.index + 1),
+            request(request_fields{.service = from.service->name,
+                                   .team = from.team,
+                                   .tasks = {task{.body = bytes(std::to_string(it.index)),
+                                                  .declared_run_time = from.declared}},
+                                   .deadline = now_ + from.service->time_limit})});
+    }
+
+    void apply(const tick& /*it*/) { engine_->tick(reading()); }
+
+    void apply(const finish& it)
+    {
+        fake_target& target = targets_.at(it.target);
+        if (const auto next = target.finish()) {
+            steps_.push({now_ + next->run_time, next_step_++, finish{it.target, next->exchange}});
+        }
+        if (target.fails()) {
+            deliver(exchange_finished{it.exchange, connection_lost{}});
+        } else {
+            deliver(exchange_finished{it.exchange, task_answer{.status = 200}});
+        }
+    }
+
+    void apply(const time_out& it)
+    {
+        if (engine_->board().exchanges.contains(it.exchange)) {
+            deliver(exchange_finished{it.exchange, no_answer{}});
+        }
+    }
+
+    void carry_out()
+    {
+        for (std::vector<action> actions = engine_->take_actions(); !actions.empty();
+             actions = engine_->take_actions()) {
+            for (const action& it : actions) {
+                if (const auto* start = std::get_if<start_exchange>(&it)) {
+                    send(*start);
+                } else if (const auto* answered = std::get_if<answer_call>(&it)) {
+                    record(*answered);
+                }
+            }
+        }
+    }
+
+    void send(const start_exchange& start)
+    {
+        ++result_.starts;
+        fake_target& target = targets_.at(start.target);
+        if (target.refuses()) {
+            deliver(exchange_finished{start.exchange, target_refused{}});
+            return;
+        }
+        const std::size_t index = std::stoul(std::string(start.work->body.view()));
+        constexpr duration failing_time = std::chrono::milliseconds(5);
+        const duration run_time = target.fails() ? failing_time : result_.arrivals[index].run_time;
+        if (const auto job = target.take({start.exchange, run_time})) {
+            steps_.push({now_ + job->run_time, next_step_++, finish{start.target, job->exchange}});
+        }
+        steps_.push({start.deadline, next_step_++, time_out{start.exchange}});
+    }
+
+    void record(const answer_call& answered)
+    {
+        const std::size_t index = answered.call.value() - 1;
+        request_outcome& outcome = result_.outcomes.at(index);
+        const arrival& from = result_.arrivals[index];
+        outcome.answered_at = now_;
+        const bool in_time = now_ <= from.at + from.service->time_limit;
+        outcome.useful = in_time && std::holds_alternative<completion>(answered.result);
+        outcome.refused = !outcome.useful && now_ == from.at;
+    }
+
+    policy_set policies_;
+    target_plan plan_;
+    std::unique_ptr<engine> engine_;
+    std::map<target_name, fake_target> targets_;
+    std::priority_queue<step> steps_;
+    std::uint64_t next_step_ = 0;
+    time_point now_{};
+    run_result result_;
+};
+
+} // namespace papayafall::bench
