--- /dev/null
+++ b/packages/platform/src/http/consul_json.cpp
@@ -0,0 +1,122 @@
+#include "consul_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <QByteArray>
+
+namespace papayafall::detail {
+
+namespace {
+
+constexpr int not_found_status = 404;
+
+[[noreturn]] void fail(const char* message)
+{
+    throw platform_error(error_id::platform_protocol, message);
+}
+
+nlohmann::json parse(const http_answer& answer)
+{
+    nlohmann::json document = nlohmann::json::parse(answer.body, nullptr, false);
+    if (document.is_discarded()) {
+        fail("the platform's answer is not JSON");
+    }
+    return document;
+}
+
+std::string decode_base64(const std::string& text)
+{
+    const auto decoded = QByteArray::fromBase64Encoding(QByteArray::fromStdString(text),
+                                                        QByteArray::AbortOnBase64DecodingErrors);
+    if (!decoded) {
+        fail("a value of the platform is not base64");
+    }
+    return decoded.decoded.toStdString();
+}
+
+std::string decode_value(const nlohmann::json& entry)
+{
+    const auto it = entry.find("Value");
+    return it == entry.end() || it->is_null() ? "" : decode_base64(it->get<std::string>());
+}
+
+stored_value decode_entry(const nlohmann::json& entry)
+{
+    return {
+        .key = entry.at("Key").get<std::string>(),
+        .data = decode_value(entry),
+        .index = modify_index(entry.at("ModifyIndex").get<std::uint64_t>()),
+        .lock_count = entry.value("LockIndex", std::uint64_t{0}),
+        .holder = session_id(entry.value("Session", std::string())),
+    };
+}
+
+std::vector<stored_value> decode_entries(const http_answer& answer)
+{
+    const nlohmann::json document = parse(answer);
+    std::vector<stored_value> out;
+    try {
+        out.reserve(document.size());
+        for (const nlohmann::json& it : document) {
+            out.push_back(decode_entry(it));
+        }
+    } catch (const nlohmann::json::exception&) {
+        fail("an entry of the platform has an unexpected form");
+    }
+    return out;
+}
+
+} // namespace
+
+bool is_missing(const http_answer& answer)
+{
+    return answer.status == not_found_status;
+}
+
+read_result decode_read(const http_answer& answer)
+{
+    if (is_missing(answer)) {
+        return {std::nullopt, answer.index};
+    }
+    std::vector<stored_value> entries = decode_entries(answer);
+    if (entries.size() != 1) {
+        fail("the platform answered a read of one key with several entries");
+    }
+    return {std::move(entries.front()), answer.index};
+}
+
+std::vector<stored_value> decode_list(const http_answer& answer)
+{
+    return is_missing(answer) ? std::vector<stored_value>() : decode_entries(answer);
+}
+
+bool decode_flag(const http_answer& answer)
+{
+    const nlohmann::json document = parse(answer);
+    if (!document.is_boolean()) {
+        fail("the platform answered a write with something else than true or false");
+    }
+    return document.get<bool>();
+}
+
+session_id decode_session(const http_answer& answer)
+{
+    const nlohmann::json document = parse(answer);
+    if (!document.is_object() || !document.contains("ID") || !document["ID"].is_string()) {
+        fail("the platform answered the opening of a session without an identifier");
+    }
+    return session_id(document["ID"].get<std::string>());
+}
+
+std::string encode_session(const std::string& name, std::chrono::milliseconds ttl)
+{
+    const nlohmann::json document{
+        {"Name", name},
+        {"TTL", std::to_string(ttl.count()) + "ms"},
+        {"Behavior", "release"},
+        {"LockDelay", "0s"},
+    };
+    return document.dump();
+}
+
+} // namespace papayafall::detail
--- /dev/null
+++ b/packages/platform/src/http/http_caller.cpp
@@ -0,0 +1,164 @@
+#include "papayafall/platform/http/http_caller.hpp"
+
+#include "unrepeatable_body.hpp"
+
+#include <QNetworkProxy>
+#include <QNetworkRequest>
+#include <QTimer>
+#include <QUrl>
+
+#include <algorithm>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+/// Connections that QNetworkAccessManager opens to one host.
+constexpr std::size_t max_calls_in_flight = 6;
+
+constexpr int first_error_status = 400;
+constexpr int first_server_error_status = 500;
+constexpr int not_found_status = 404;
+
+QUrl make_url(const endpoint& address, const std::string& path)
+{
+    QUrl url = QUrl(QString::fromStdString(path), QUrl::StrictMode);
+    url.setScheme("http");
+    url.setHost(QString::fromStdString(address.address));
+    url.setPort(address.port);
+    return url;
+}
+
+/// Whether the connection failed before a byte of the call could be written.
+bool never_connected(QNetworkReply::NetworkError error)
+{
+    return error == QNetworkReply::ConnectionRefusedError ||
+           error == QNetworkReply::HostNotFoundError;
+}
+
+platform_failure connection_failure(const QNetworkReply& reply, bool writes)
+{
+    const bool untouched = !writes || never_connected(reply.error());
+    return {error_id::platform_unavailable,
+            untouched ? write_effect::not_applied : write_effect::may_have_been_applied,
+            reply.errorString().toStdString()};
+}
+
+platform_failure status_failure(int status, const std::string& body, bool writes)
+{
+    constexpr std::size_t max_detail = 200;
+    const bool server_fault = status >= first_server_error_status;
+    return {server_fault ? error_id::platform_unavailable : error_id::platform_protocol,
+            server_fault && writes ? write_effect::may_have_been_applied
+                                   : write_effect::not_applied,
+            "HTTP status " + std::to_string(status) + ": " + body.substr(0, max_detail)};
+}
+
+} // namespace
+
+http_caller::http_caller(http_platform_options options) : options_(std::move(options))
+{
+    calls_.setProxy(QNetworkProxy::NoProxy);
+    watches_.setProxy(QNetworkProxy::NoProxy);
+}
+
+http_caller::~http_caller()
+{
+    while (!in_flight_.empty()) {
+        cancel(in_flight_.begin()->first);
+    }
+}
+
+store_call http_caller::send(const http_call& call, platform_reply<http_answer> reply)
+{
+    last_call_ = last_call_.next();
+    const store_call number = last_call_;
+    if (in_flight(call.waits) >= max_calls_in_flight) {
+        const platform_failure failure{error_id::platform_unavailable, write_effect::not_applied,
+                                       "too many calls to the platform are in progress"};
+        QMetaObject::invokeMethod(
+            &calls_, [reply = std::move(reply), failure] { reply(failure); }, Qt::QueuedConnection);
+        return number;
+    }
+    QNetworkReply* started = start(call);
+    in_flight_[number] = {started, call.waits};
+
+    auto* timer = new QTimer(started);
+    timer->setSingleShot(true);
+    QObject::connect(timer, &QTimer::timeout, started, &QNetworkReply::abort);
+    timer->start(options_.call_timeout + call.extra_wait);
+
+    const bool writes = call.method != http_method::get;
+    QObject::connect(started, &QNetworkReply::finished, &calls_,
+                     [this, number, started, writes, reply = std::move(reply)] {
+                         finish(number, *started, writes, reply);
+                     });
+    return number;
+}
+
+void http_caller::cancel(store_call call)
+{
+    const auto it = in_flight_.find(call);
+    if (it == in_flight_.end()) {
+        return;
+    }
+    QNetworkReply* reply = it->second.reply;
+    in_flight_.erase(it);
+    if (reply != nullptr) {
+        reply->disconnect(&calls_);
+        reply->abort();
+        reply->deleteLater();
+    }
+}
+
+QNetworkReply* http_caller::start(const http_call& call)
+{
+    QNetworkRequest request(make_url(options_.address, call.path));
+    request.setRawHeader("X-Papayafall-Zone", QByteArray::fromStdString(options_.zone.text()));
+    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+    request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
+
+    QNetworkAccessManager& manager = call.waits ? watches_ : calls_;
+    if (call.method == http_method::get) {
+        return manager.get(request);
+    }
+    if (call.method == http_method::remove) {
+        return manager.deleteResource(request);
+    }
+    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+    request.setHeader(QNetworkRequest::ContentLengthHeader,
+                      static_cast<qlonglong>(call.body.size()));
+    auto* body = new detail::unrepeatable_body(QByteArray::fromStdString(call.body), &manager);
+    QNetworkReply* reply = manager.put(request, body);
+    body->setParent(reply);
+    return reply;
+}
+
+void http_caller::finish(store_call number, QNetworkReply& reply, bool writes,
+                         const platform_reply<http_answer>& done)
+{
+    in_flight_.erase(number);
+    reply.deleteLater();
+    const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    if (status == 0 || (reply.error() != QNetworkReply::NoError && status < first_error_status)) {
+        done(connection_failure(reply, writes));
+        return;
+    }
+    const std::string body = reply.readAll().toStdString();
+    if (status >= first_error_status && status != not_found_status) {
+        done(status_failure(status, body, writes));
+        return;
+    }
+    const modify_index index(reply.rawHeader("X-Consul-Index").toULongLong());
+    done(http_answer{status, body, index});
+}
+
+std::size_t http_caller::in_flight(bool waits) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(in_flight_.begin(), in_flight_.end(),
+                      [&](const auto& it) { return it.second.waits == waits; }));
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/platform/src/http/http_key_value_store.cpp
@@ -0,0 +1,204 @@
+#include "papayafall/platform/http/http_key_value_store.hpp"
+
+#include "consul_json.hpp"
+
+#include <QUrl>
+
+#include <algorithm>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+std::string kv_path(const std::string& key)
+{
+    const QByteArray encoded = QUrl::toPercentEncoding(QString::fromStdString(key), "/");
+    return "/v1/kv/" + encoded.toStdString();
+}
+
+std::string condition_query(const put_condition& condition)
+{
+    if (std::holds_alternative<put_if_absent>(condition)) {
+        return "?cas=0";
+    }
+    if (const auto* it = std::get_if<put_if_unchanged>(&condition)) {
+        return "?cas=" + std::to_string(it->index.value());
+    }
+    return "";
+}
+
+/// Passes failures on and applies `decode` to answers; its `platform_error` becomes a failure.
+template <typename Value, typename Decode>
+platform_reply<http_answer> decoded(platform_reply<Value> reply, Decode decode)
+{
+    return [reply = std::move(reply), decode](const platform_result<http_answer>& result) {
+        if (const auto* failure = std::get_if<platform_failure>(&result)) {
+            reply(*failure);
+            return;
+        }
+        platform_result<Value> value;
+        try {
+            value = decode(std::get<http_answer>(result));
+        } catch (const platform_error& it) {
+            value = platform_failure{error_id::platform_protocol,
+                                     write_effect::may_have_been_applied, it.what()};
+        }
+        reply(value);
+    };
+}
+
+/// What a key that was read back says about a conditional write whose first result was `first`.
+platform_result<put_outcome> judge(const put_request& request,
+                                   const platform_result<put_outcome>& first,
+                                   const std::optional<stored_value>& found)
+{
+    if (found && found->data == request.data) {
+        return put_outcome::applied;
+    }
+    // A record that is only ever created holds another writer's data: this write never can apply.
+    if (found && std::holds_alternative<put_if_absent>(request.condition)) {
+        return put_outcome::refused;
+    }
+    return first;
+}
+
+bool needs_read_back(const put_request& request, const platform_result<put_outcome>& result)
+{
+    if (std::holds_alternative<put_always>(request.condition)) {
+        return false;
+    }
+    if (const auto* failure = std::get_if<platform_failure>(&result)) {
+        return failure->effect == write_effect::may_have_been_applied;
+    }
+    return std::get<put_outcome>(result) == put_outcome::refused;
+}
+
+} // namespace
+
+http_key_value_store::http_key_value_store(http_platform_options options, const clock_source& clock)
+    : caller_(std::move(options)), clock_(&clock)
+{
+}
+
+void http_key_value_store::get(const std::string& key, platform_reply<read_result> reply)
+{
+    caller_.send({.path = kv_path(key)},
+                 decoded<read_result>(std::move(reply), detail::decode_read));
+}
+
+store_call http_key_value_store::watch(const std::string& key, modify_index after,
+                                       time_point wait_until, platform_reply<read_result> reply)
+{
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+        std::max(duration::zero(), wait_until - clock_->read().steady));
+    constexpr int jitter_divisor = 16; // the service adds up to this share to a wait
+    http_call call{.path = kv_path(key), .waits = true};
+    if (after != modify_index()) {
+        call.path += "?index=" + std::to_string(after.value()) +
+                     "&wait=" + std::to_string(wait.count()) + "ms";
+        call.extra_wait = wait + wait / jitter_divisor;
+    }
+    return caller_.send(call, decoded<read_result>(std::move(reply), detail::decode_read));
+}
+
+void http_key_value_store::cancel(store_call call)
+{
+    caller_.cancel(call);
+}
+
+void http_key_value_store::list(const std::string& prefix,
+                                platform_reply<std::vector<stored_value>> reply)
+{
+    caller_.send({.path = kv_path(prefix) + "?recurse"},
+                 decoded<std::vector<stored_value>>(std::move(reply), detail::decode_list));
+}
+
+void http_key_value_store::put(const put_request& request, platform_reply<put_outcome> reply)
+{
+    auto resolve = [this, request,
+                    reply = std::move(reply)](const platform_result<put_outcome>& result) {
+        if (!needs_read_back(request, result)) {
+            reply(result);
+            return;
+        }
+        read_back(request, result, reply);
+    };
+    caller_.send({.method = http_method::put,
+                  .path = kv_path(request.key) + condition_query(request.condition),
+                  .body = request.data},
+                 decoded<put_outcome>(std::move(resolve), [](const http_answer& it) {
+                     return detail::decode_flag(it) ? put_outcome::applied : put_outcome::refused;
+                 }));
+}
+
+void http_key_value_store::read_back(const put_request& request,
+                                     const platform_result<put_outcome>& first,
+                                     const platform_reply<put_outcome>& reply)
+{
+    get(request.key, [request, first, reply](const platform_result<read_result>& result) {
+        if (const auto* failure = std::get_if<platform_failure>(&result)) {
+            reply(platform_failure{failure->id, write_effect::may_have_been_applied,
+                                   failure->detail});
+            return;
+        }
+        reply(judge(request, first, std::get<read_result>(result).found));
+    });
+}
+
+void http_key_value_store::erase(const std::string& key, platform_reply<put_outcome> reply)
+{
+    caller_.send({.method = http_method::remove, .path = kv_path(key)},
+                 decoded<put_outcome>(std::move(reply), [](const http_answer& it) {
+                     return detail::decode_flag(it) ? put_outcome::applied : put_outcome::refused;
+                 }));
+}
+
+void http_key_value_store::open_session(const std::string& name, std::chrono::milliseconds ttl,
+                                        platform_reply<session_id> reply)
+{
+    caller_.send({.method = http_method::put,
+                  .path = "/v1/session/create",
+                  .body = detail::encode_session(name, ttl)},
+                 decoded<session_id>(std::move(reply), detail::decode_session));
+}
+
+void http_key_value_store::renew_session(const session_id& session,
+                                         platform_reply<session_status> reply)
+{
+    caller_.send({.method = http_method::put, .path = "/v1/session/renew/" + session.text()},
+                 decoded<session_status>(std::move(reply), [](const http_answer& it) {
+                     return detail::is_missing(it) ? session_status::ended : session_status::alive;
+                 }));
+}
+
+void http_key_value_store::destroy_session(const session_id& session,
+                                           platform_reply<session_status> reply)
+{
+    caller_.send({.method = http_method::put, .path = "/v1/session/destroy/" + session.text()},
+                 decoded<session_status>(std::move(reply),
+                                         [](const http_answer&) { return session_status::ended; }));
+}
+
+void http_key_value_store::acquire(const lock_request& request, platform_reply<lock_outcome> reply)
+{
+    lock(request, "acquire", std::move(reply));
+}
+
+void http_key_value_store::release(const lock_request& request, platform_reply<lock_outcome> reply)
+{
+    lock(request, "release", std::move(reply));
+}
+
+void http_key_value_store::lock(const lock_request& request, const char* operation,
+                                platform_reply<lock_outcome> reply)
+{
+    caller_.send({.method = http_method::put,
+                  .path = kv_path(request.key) + "?" + operation + "=" + request.session.text(),
+                  .body = request.data},
+                 decoded<lock_outcome>(std::move(reply), [](const http_answer& it) {
+                     return detail::decode_flag(it) ? lock_outcome::granted : lock_outcome::refused;
+                 }));
+}
+
+} // namespace papayafall
