--- /dev/null
+++ b/packages/wire/include/papayafall/wire/http/answer_codec.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "papayafall/core/values/answer.hpp"
+#include "papayafall/core/values/request_key.hpp"
+
+#include <string>
+#include <vector>
+
+namespace papayafall {
+
+/// Body of the answer to a job: `{"answers": [{"status": n, "body": ...}, ...]}`, one for each
+/// task in the order of the request.
+///
+/// A body that is a JSON object or array is embedded as it stands, any other UTF-8 text becomes
+/// a JSON string, and other bytes become `"body_base64"` in place of `"body"`.
+/// Complexity: linear in the size of the bodies.
+std::string encode_job_answer(const completion& result);
+
+/// Body of the answer to a request for tickets: `{"tickets": ["t1...", ...]}`.
+std::string encode_tickets(const std::vector<ticket>& tickets);
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/wire/include/papayafall/wire/http/json_reader.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string_view>
+
+namespace papayafall {
+
+/// Deepest nesting of arrays and objects in a caller's JSON.
+inline constexpr std::size_t max_json_depth = 64;
+
+/// Parses JSON that a caller sent. Duplicate keys, invalid UTF-8, numbers out of range and
+/// nesting deeper than `max_json_depth` are refused.
+/// @throws request_error (`malformed_request`) for each of these and for any syntax error
+/// Complexity: linear in the size of `text`, but for a logarithm of the keys of one object.
+nlohmann::json parse_callers_json(std::string_view text);
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/wire/src/http/request_codec.cpp
@@ -0,0 +1,192 @@
+#include "papayafall/wire/http/request_codec.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/wire/http/fingerprint.hpp"
+#include "papayafall/wire/http/json_reader.hpp"
+#include "papayafall/wire/http/request_key_codec.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_name_size = 63;
+constexpr std::uint64_t max_milliseconds = 24ULL * 60 * 60 * 1000; ///< one day
+
+[[noreturn]] void refuse(const std::string& reason, error_id id = error_id::malformed_request)
+{
+    throw request_error(id, reason);
+}
+
+bool is_name_character(char c) noexcept
+{
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+}
+
+void check_name(std::string_view text, const char* what)
+{
+    if (text.empty() || text.size() > max_name_size ||
+        !std::all_of(text.begin(), text.end(), is_name_character)) {
+        refuse(std::string(what) + " is not 1 to 63 characters of a-z, 0-9 and -");
+    }
+}
+
+service_name parse_service(std::string_view text)
+{
+    check_name(text, "the name of the service");
+    return service_name(std::string(text));
+}
+
+team_name parse_team(std::string_view text)
+{
+    if (text.empty()) {
+        return {};
+    }
+    check_name(text, "Papayafall-Team");
+    return team_name(std::string(text));
+}
+
+urgency_level parse_urgency(std::string_view text)
+{
+    if (text == "urgent") {
+        return urgency_level::urgent;
+    }
+    if (text.empty() || text == "normal") {
+        return urgency_level::normal;
+    }
+    if (text == "background") {
+        return urgency_level::background;
+    }
+    refuse("Papayafall-Urgency is not urgent, normal or background");
+}
+
+time_point parse_deadline(std::string_view text, time_point now)
+{
+    if (text.empty()) {
+        return no_deadline;
+    }
+    std::uint64_t n = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, ec] = std::from_chars(text.data(), end, n);
+    if (ec != std::errc() || stop != end || n == 0 || n > max_milliseconds) {
+        refuse("Papayafall-Deadline-Ms is not a whole number of 1 to 86400000");
+    }
+    return now + std::chrono::milliseconds(n);
+}
+
+std::optional<request_key> parse_key(std::string_view text)
+{
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    return parse_request_key(text);
+}
+
+request make_request(std::string_view service, const request_headers& headers, request_kind kind,
+                     std::vector<task> tasks, time_point now)
+{
+    request_fields fields{
+        .service = parse_service(service),
+        .team = parse_team(headers.team),
+        .key = parse_key(headers.idempotency_key),
+        .deadline = parse_deadline(headers.deadline_ms, now),
+        .urgency = parse_urgency(headers.urgency),
+    };
+    fields.fingerprint = request_fingerprint(fields.service, fields.team, kind, tasks);
+    fields.tasks = std::move(tasks);
+    return {std::move(fields)};
+}
+
+/// Reads a whole JSON number of 1 to `limit`.
+std::uint64_t parse_count(const json& value, std::uint64_t limit, const char* what)
+{
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() == 0 ||
+        value.get<std::uint64_t>() > limit) {
+        refuse(std::string(what) + " is not a whole number of 1 to " + std::to_string(limit));
+    }
+    return value.get<std::uint64_t>();
+}
+
+bytes parse_task_body(const json& value)
+{
+    return bytes(value.is_string() ? value.get<std::string>() : value.dump());
+}
+
+task parse_task(const json& value)
+{
+    if (!value.is_object()) {
+        refuse("a task is not a JSON object");
+    }
+    const auto body = value.find("body");
+    if (body == value.end()) {
+        refuse("a task has no body");
+    }
+    std::optional<duration> declared_run_time;
+    for (const auto& [key, member] : value.items()) {
+        if (key == "body") {
+            continue;
+        }
+        if (key != "declared_run_time_ms") {
+            refuse("a task has an unknown member");
+        }
+        declared_run_time = std::chrono::milliseconds(
+            parse_count(member, max_milliseconds, "declared_run_time_ms"));
+    }
+    return task{.body = parse_task_body(*body), .declared_run_time = declared_run_time};
+}
+
+/// Returns the only member of the JSON object `document`, which has to be called `name`.
+const json& only_member(const json& document, const char* name)
+{
+    if (!document.is_object() || document.size() != 1 || !document.contains(name)) {
+        refuse(std::string("the body is not a JSON object whose only member is ") + name);
+    }
+    return document.at(name);
+}
+
+} // namespace
+
+request decode_single_request(std::string_view service, const request_headers& headers,
+                              std::string body, time_point now)
+{
+    return make_request(service, headers, request_kind::single,
+                        {task{.body = bytes(std::move(body))}}, now);
+}
+
+request decode_job(std::string_view service, const request_headers& headers, std::string_view body,
+                   time_point now)
+{
+    const json document = parse_callers_json(body);
+    const json& list = only_member(document, "tasks");
+    if (!list.is_array() || list.empty()) {
+        refuse("tasks is not a list of at least one task");
+    }
+    if (list.size() > max_tasks_per_job) {
+        refuse("a job has at most " + std::to_string(max_tasks_per_job) + " tasks",
+               error_id::too_many_tasks);
+    }
+    std::vector<task> tasks;
+    tasks.reserve(list.size());
+    for (const json& it : list) {
+        tasks.push_back(parse_task(it));
+    }
+    return make_request(service, headers, request_kind::job, std::move(tasks), now);
+}
+
+std::uint32_t decode_ticket_count(std::string_view body)
+{
+    if (body.empty()) {
+        return 1;
+    }
+    const json document = parse_callers_json(body);
+    return static_cast<std::uint32_t>(
+        parse_count(only_member(document, "count"), max_tickets_per_request, "count"));
+}
+
+} // namespace papayafall
