Add the callers' HTTP front end: whole requests, one at a time per connection

Qt's HTTP server reads from a socket that shows it one whole, bounded request at a time. Pipelined requests so get their own answers in order, and an answer to a caller who hung up is dropped.

--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/http/caller_server.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/daemon/http/caller_listener.hpp"
+#include "papayafall/daemon/http/caller_request.hpp"
+#include "papayafall/daemon/http/caller_socket.hpp"
+#include "papayafall/daemon/http/front_end_metrics.hpp"
+#include "papayafall/daemon/http/front_end_options.hpp"
+
+#include <boost/intrusive/set.hpp>
+#include <prometheus/registry.h>
+
+#include <QAbstractHttpServer>
+#include <QSslConfiguration>
+#include <QTimer>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace papayafall {
+
+/// Share of one front-end thread in the numbers of calls.
+struct call_numbering {
+    std::uint64_t thread = 0;  ///< number of the thread, from 0
+    std::uint64_t threads = 1; ///< number of front-end threads
+
+    auto operator<=>(const call_numbering&) const = default;
+};
+
+/// What the front-end threads share; each member must outlive them.
+struct front_end_links {
+    event_sink& events;
+    front_end_metrics& metrics;
+    prometheus::Registry& registry;
+};
+
+/// Decodes callers' requests into events and encodes the answers, on one traffic thread.
+///
+/// Created on any thread and moved to its own; every public member runs there from then on.
+class caller_server final : public QAbstractHttpServer, public caller_socket_observer {
+  public:
+    caller_server(const front_end_options& options, const front_end_links& links,
+                  call_numbering numbering);
+    ~caller_server() override;
+
+    /// Starts to accept connections.
+    /// @param descriptor listening socket, which this object closes
+    void open(int descriptor, std::optional<QSslConfiguration> tls);
+
+    /// Carries out `answer_call`, `issue_tickets` and `publish_status`; others are ignored.
+    void handle(const action& requested);
+
+    void set_tls(const QSslConfiguration& tls);
+
+    /// Accepts no more connections and closes each one after the request in progress.
+    /// @param drained called once, when no connection is left
+    void stop_accepting(std::function<void()> drained);
+
+    /// Cuts every connection and releases all sockets.
+    void close();
+
+    void on_refused(caller_socket& caller, const frame_refused& reason) override;
+    void on_closed(caller_socket& caller) override;
+
+  protected:
+    bool handleRequest(const QHttpServerRequest& incoming, QTcpSocket* socket) override;
+    void missingHandler(const QHttpServerRequest& incoming, QTcpSocket* socket) override;
+
+  private:
+    struct call_of {
+        using type = call_id;
+
+        call_id operator()(const caller_socket& it) const noexcept { return it.call().call; }
+    };
+
+    using call_index =
+        boost::intrusive::set<caller_socket, boost::intrusive::base_hook<call_index_hook>,
+                              boost::intrusive::constant_time_size<false>,
+                              boost::intrusive::key_of_value<call_of>>;
+
+    /// Acts on what a caller asked for.
+    class dispatcher;
+
+    void serve(caller_socket& caller, const http_request& incoming);
+    call_id expect_answer(caller_socket& caller, answer_shape shape);
+    /// Takes the socket that waits for `call` out of the index; nullptr when it is gone.
+    caller_socket* take_call(call_id call);
+    void show_answer(call_id call, const answer& result);
+    void show_tickets(call_id call, const std::vector<ticket>& tickets);
+    void respond(caller_socket& caller, const http_response& response, std::string_view result);
+    void respond(caller_socket& caller, const failure& reason);
+    void check_drained();
+
+    http_response health() const;
+    http_response readiness() const;
+    http_response metrics_page() const;
+    http_response status_page() const;
+
+    const front_end_options options_;
+    const front_end_links links_;
+    const call_numbering numbering_;
+    std::uint64_t next_call_ = 1;
+    caller_listener* listener_ = nullptr;
+    QTimer* deadline_timer_ = nullptr;
+    call_index calls_;
+    std::optional<status_snapshot> status_;
+    time_point status_valid_until_{};
+    std::function<void()> drained_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/http/front_end.cpp
@@ -0,0 +1,92 @@
+#include "papayafall/daemon/http/front_end.hpp"
+
+#include "papayafall/daemon/http/front_end_thread.hpp"
+#include "papayafall/daemon/http/steady_now.hpp"
+#include "papayafall/daemon/http/tls_loader.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+std::optional<QSslConfiguration> load_optional_tls(const std::optional<tls_files>& files)
+{
+    return files ? std::optional(load_tls(*files)) : std::nullopt;
+}
+
+} // namespace
+
+front_end::front_end(const front_end_options& options, event_sink& events,
+                     prometheus::Registry& registry)
+    : options_(options), metrics_(registry)
+{
+    const auto tls = load_optional_tls(options.tls);
+    const front_end_links links{.events = events, .metrics = metrics_, .registry = registry};
+    const std::uint32_t threads = std::max(options.threads, 1U);
+    front_end_options shared = options;
+    for (std::uint32_t n = 0; n < threads; ++n) {
+        const call_numbering numbering{.thread = n, .threads = threads};
+        threads_.push_back(std::make_unique<front_end_thread>(shared, links, numbering, tls));
+        shared.listen.port = threads_.back()->port();
+    }
+    port_ = shared.listen.port;
+}
+
+front_end::~front_end() = default;
+
+void front_end::start()
+{
+    for (const auto& it : threads_) {
+        it->start();
+    }
+}
+
+void front_end::post(action requested)
+{
+    if (const auto* it = std::get_if<answer_call>(&requested)) {
+        threads_[it->call.value() % threads_.size()]->post(std::move(requested));
+        return;
+    }
+    if (const auto* it = std::get_if<issue_tickets>(&requested)) {
+        threads_[it->call.value() % threads_.size()]->post(std::move(requested));
+        return;
+    }
+    if (!std::holds_alternative<publish_status>(requested)) {
+        return;
+    }
+    for (const auto& it : threads_) {
+        it->post(requested);
+    }
+}
+
+void front_end::reload_tls()
+{
+    if (!options_.tls) {
+        return;
+    }
+    const QSslConfiguration tls = load_tls(*options_.tls);
+    for (const auto& it : threads_) {
+        it->set_tls(tls);
+    }
+}
+
+void front_end::stop_accepting()
+{
+    for (const auto& it : threads_) {
+        it->stop_accepting();
+    }
+}
+
+void front_end::stop(std::chrono::milliseconds limit)
+{
+    const time_point deadline = steady_now() + limit;
+    stop_accepting();
+    for (const auto& it : threads_) {
+        it->join(deadline);
+    }
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/http/tls_loader.cpp
@@ -0,0 +1,61 @@
+#include "papayafall/daemon/http/tls_loader.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+
+#include <QFile>
+#include <QSslCertificate>
+#include <QSslKey>
+
+#include <array>
+#include <string>
+
+namespace papayafall {
+
+namespace {
+
+constexpr std::array key_algorithms{QSsl::Rsa, QSsl::Ec};
+
+[[noreturn]] void refuse(const char* path, const std::string& reason)
+{
+    throw configuration_error(error_id::invalid_settings, path, reason);
+}
+
+QByteArray read_file(const std::string& name, const char* path)
+{
+    QFile file(QString::fromStdString(name));
+    if (!file.open(QIODevice::ReadOnly)) {
+        refuse(path, name + ": " + file.errorString().toStdString());
+    }
+    return file.readAll();
+}
+
+QSslKey load_key(const std::string& name)
+{
+    const QByteArray pem = read_file(name, "/http/tls/private_key");
+    for (const QSsl::KeyAlgorithm it : key_algorithms) {
+        QSslKey key(pem, it, QSsl::Pem, QSsl::PrivateKey);
+        if (!key.isNull()) {
+            return key;
+        }
+    }
+    refuse("/http/tls/private_key", name + ": not an RSA or EC private key in PEM");
+}
+
+} // namespace
+
+QSslConfiguration load_tls(const tls_files& files)
+{
+    const QByteArray pem = read_file(files.certificate_chain, "/http/tls/certificate_chain");
+    const QList<QSslCertificate> chain = QSslCertificate::fromData(pem, QSsl::Pem);
+    if (chain.isEmpty()) {
+        refuse("/http/tls/certificate_chain", files.certificate_chain + ": no certificate in PEM");
+    }
+    QSslConfiguration tls = QSslConfiguration::defaultConfiguration();
+    tls.setLocalCertificateChain(chain);
+    tls.setPrivateKey(load_key(files.private_key));
+    tls.setProtocol(QSsl::TlsV1_2OrLater);
+    tls.setPeerVerifyMode(QSslSocket::VerifyNone);
+    return tls;
+}
+
+} // namespace papayafall
--- a/packages/wire/include/papayafall/wire/http/problem_codec.hpp
+++ b/packages/wire/include/papayafall/wire/http/problem_codec.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/values/time.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -13,8 +14,9 @@
 ///
 /// Members: `type` (`urn:papayafall:error:<name>`), `status`, `title`, `detail`, `id` (number of
 /// the error), `run` (`not_run`, `ran` or `unknown`) and, where known, `retry_after_ms`.
+/// @param status HTTP status of the response
 /// @param now instant from which `retry_after_ms` counts
-std::string encode_problem(const failure& reason, time_point now);
+std::string encode_problem(const failure& reason, std::uint16_t status, time_point now);
 
 /// Time from `now` until another try can succeed, rounded up to seconds for `Retry-After`; empty
 /// where none is known.
--- a/packages/wire/src/http/problem_codec.cpp
+++ b/packages/wire/src/http/problem_codec.cpp
@@ -1,7 +1,5 @@
 #include "papayafall/wire/http/problem_codec.hpp"
 
-#include "papayafall/wire/http/http_status.hpp"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -30,11 +28,11 @@
 
 } // namespace
 
-std::string encode_problem(const failure& reason, time_point now)
+std::string encode_problem(const failure& reason, std::uint16_t status, time_point now)
 {
     ordered_json problem{
         {"type", "urn:papayafall:error:" + std::string(to_string(reason.id))},
-        {"status", http_status(reason.id)},
+        {"status", status},
         {"title", title_of(reason.id)},
         {"detail", reason.detail},
         {"id", static_cast<unsigned>(reason.id)},
