--- a/packages/daemon/src/targets/target_protocol.cpp
+++ b/packages/daemon/src/targets/target_protocol.cpp
@@ -58,7 +58,8 @@
     http_request_fields fields{.server = requested.address,
                                .path = "/v1/run/" + requested.work->service.text(),
                                .body = requested.work->body,
-                               .deadline = requested.deadline};
+                               .deadline = requested.deadline,
+                               .new_connection = !requested.work->idempotent};
     fields.headers.push_back(
         {.name = exchange_header, .value = std::to_string(requested.exchange.value())});
     if (requested.deadline != no_deadline) {
--- a/packages/daemon/tests/targets/unit-target-traffic.cpp
+++ b/packages/daemon/tests/targets/unit-target-traffic.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(leaving_target_refuses_and_says_so);
     CPPUNIT_TEST(failed_task_ran);
     CPPUNIT_TEST(closed_connection_is_lost_and_started_once);
+    CPPUNIT_TEST(work_that_may_run_once_only_gets_a_new_connection);
     CPPUNIT_TEST(unreachable_target_was_not_sent_the_task);
     CPPUNIT_TEST(silent_connection_is_replaced);
     CPPUNIT_TEST(abandoned_exchange_ends_once);
@@ -142,6 +143,15 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, targets_->starts().at("b"));
     }
 
+    void work_that_may_run_once_only_gets_a_new_connection()
+    {
+        run("{}");
+        idempotent_ = false;
+        run("{}");
+        run("{}");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, targets_->counts().connections);
+    }
+
     void unreachable_target_was_not_sent_the_task()
     {
         const std::uint16_t port = targets_->port();
@@ -211,8 +221,8 @@
             .exchange = last_,
             .target = target_name("t"),
             .address = {.address = "127.0.0.1", .port = port ? *port : targets_->port()},
-            .work =
-                work_item(work_item_fields{.service = service_name("quote"), .body = bytes(body)}),
+            .work = work_item(work_item_fields{
+                .service = service_name("quote"), .idempotent = idempotent_, .body = bytes(body)}),
             .deadline = clock_.read().steady + time_limit});
         return last_;
     }
@@ -231,6 +241,7 @@
     std::unique_ptr<stand_in_targets> targets_;
     std::unique_ptr<target_traffic> traffic_;
     exchange_id last_;
+    bool idempotent_ = true;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(target_traffic_test);
--- a/packages/platform/include/papayafall/platform/http/connection_pool.hpp
+++ b/packages/platform/include/papayafall/platform/http/connection_pool.hpp
@@ -25,6 +25,9 @@
     /// Takes a connection to `server` for one request. Complexity: logarithmic in the servers.
     connection_id acquire(const endpoint& server, time_point now);
 
+    /// Makes a connection that is not given back.
+    connection_id acquire_new();
+
     /// Gives back a connection whose request ended with a whole response.
     void release(const endpoint& server, connection_id connection, time_point now);
 
--- a/packages/platform/include/papayafall/platform/http/http_message.hpp
+++ b/packages/platform/include/papayafall/platform/http/http_message.hpp
@@ -29,6 +29,9 @@
     bytes body;
     /// Instant at which the exchange ends without an answer.
     time_point deadline = no_deadline;
+    /// Use a connection that carries nothing else. A server may close an unused connection while a
+    /// request is on its way to it, which leaves the outcome of that request unknown.
+    bool new_connection = false;
 
     auto operator<=>(const http_request_fields&) const = default;
 };
--- a/packages/platform/src/http/connection_pool.cpp
+++ b/packages/platform/src/http/connection_pool.cpp
@@ -11,6 +11,11 @@
         return id;
     }
     idle.clear();
+    return acquire_new();
+}
+
+connection_id connection_pool::acquire_new()
+{
     last_ = last_.next();
     return last_;
 }
--- a/packages/platform/src/http/http_client.cpp
+++ b/packages/platform/src/http/http_client.cpp
@@ -49,19 +49,24 @@
 /// name, and queues what goes beyond. Without TLS the name has no other use, so that a name of its
 /// own gives a request a connection of its own.
 void select_connection(QNetworkRequest& request, connection_id connection,
-                       std::chrono::milliseconds idle_limit)
+                       std::chrono::seconds idle_limit)
 {
-    const auto idle_seconds = std::chrono::ceil<std::chrono::seconds>(idle_limit);
     request.setPeerVerifyName(QString::number(connection.value()));
     request.setAttribute(QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute,
-                         static_cast<int>(idle_seconds.count()));
+                         static_cast<int>(idle_limit.count()));
 }
 
 QNetworkRequest make_request(const detail::http_call& call, std::chrono::milliseconds idle_limit)
 {
     QNetworkRequest request(make_url(call.request));
     restrict_features(request);
-    select_connection(request, call.connection, idle_limit);
+    const bool single = call.request->new_connection;
+    select_connection(request, call.connection,
+                      single ? std::chrono::seconds(0)
+                             : std::chrono::ceil<std::chrono::seconds>(idle_limit));
+    if (single) {
+        request.setRawHeader("Connection", "close");
+    }
     request.setHeader(QNetworkRequest::ContentLengthHeader,
                       QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
     request.setHeader(QNetworkRequest::ContentTypeHeader,
@@ -172,9 +177,10 @@
 {
     const time_point started_at = now();
     const time_point connected_by = started_at + options_.connect_limit;
-    const detail::http_call_ptr it(
-        new detail::http_call(call, request, pool_.acquire(request->server, started_at),
-                              std::min(connected_by, request->deadline)));
+    const connection_id connection =
+        request->new_connection ? pool_.acquire_new() : pool_.acquire(request->server, started_at);
+    const detail::http_call_ptr it(new detail::http_call(
+        call, request, connection, std::min(connected_by, request->deadline)));
     auto* body = new one_shot_body(request->body);
     it->attach(manager_.post(make_request(*it, options_.idle_limit), body), body);
     connect(it->reply, &QNetworkReply::finished, this, [this, call] { on_reply_finished(call); });
@@ -210,9 +216,10 @@
         return;
     }
     const http_outcome outcome = read_outcome(*it, options_.largest_answer);
-    const bool whole = it->reply->error() != QNetworkReply::ContentReSendError &&
-                       std::holds_alternative<http_response>(outcome);
-    if (whole) {
+    const bool reusable = !it->request->new_connection &&
+                          it->reply->error() != QNetworkReply::ContentReSendError &&
+                          std::holds_alternative<http_response>(outcome);
+    if (reusable) {
         pool_.release(it->request->server, it->connection, now());
     }
     finish(*it, outcome);
--- a/packages/platform/tests/http/unit-http-client.cpp
+++ b/packages/platform/tests/http/unit-http-client.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(requests_in_turn_share_a_connection);
     CPPUNIT_TEST(connection_idle_for_long_is_not_used);
     CPPUNIT_TEST(unused_connections_are_closed);
+    CPPUNIT_TEST(new_connection_carries_one_request);
     CPPUNIT_TEST(no_answer_renews_every_connection_to_the_server);
     CPPUNIT_TEST(abandoned_request_closes_its_connection);
     CPPUNIT_TEST(long_answer_is_refused);
@@ -156,6 +157,20 @@
         CPPUNIT_ASSERT(run_until([&] { return server_->closed == 1; }));
     }
 
+    void new_connection_carries_one_request()
+    {
+        server_->on_request = [](const scripted_request& it) { scripted_server::answer(it); };
+        post_and_wait("task");
+        for (int n = 0; n < 3; ++n) {
+            const http_call_id call = post("task", 10s, {}, true);
+            CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.contains(call.value()); }));
+        }
+        CPPUNIT_ASSERT_EQUAL(4, server_->connections);
+        CPPUNIT_ASSERT(run_until([&] { return server_->closed == 3; }, 1s));
+        post_and_wait("task");
+        CPPUNIT_ASSERT_EQUAL(4, server_->connections);
+    }
+
     void no_answer_renews_every_connection_to_the_server()
     {
         server_->on_request = [](const scripted_request& it) {
@@ -257,7 +272,7 @@
     }
 
     http_call_id post(const std::string& body, duration time_limit,
-                      std::optional<std::uint16_t> port = {})
+                      std::optional<std::uint16_t> port = {}, bool new_connection = false)
     {
         last_ = last_.next();
         client_->post(last_, http_request(http_request_fields{
@@ -266,7 +281,8 @@
                                  .path = "/v1/run/quote",
                                  .headers = {{.name = "Papayafall-Exchange", .value = "7"}},
                                  .body = bytes(body),
-                                 .deadline = clock_.read().steady + time_limit}));
+                                 .deadline = clock_.read().steady + time_limit,
+                                 .new_connection = new_connection}));
         return last_;
     }
 
