--- a/packages/daemon/include/papayafall/daemon/targets/target_protocol.hpp
+++ b/packages/daemon/include/papayafall/daemon/targets/target_protocol.hpp
@@ -2,7 +2,7 @@
 
 #include "papayafall/core/messages/action.hpp"
 #include "papayafall/core/values/work.hpp"
-#include "papayafall/platform/http/http_message.hpp"
+#include "papayafall/platform/outbound/outbound_message.hpp"
 
 namespace papayafall {
 
@@ -20,9 +20,9 @@
 inline constexpr const char* leaving_true = "true";
 
 /// Encodes a task for its target.
-http_request encode_exchange(const start_exchange& requested, time_point now);
+outbound_request encode_exchange(const start_exchange& requested, time_point now);
 
 /// Decodes how the exchange ended.
-exchange_outcome decode_exchange(const http_outcome& outcome);
+exchange_outcome decode_exchange(const outbound_outcome& outcome);
 
 } // namespace papayafall
--- a/packages/daemon/include/papayafall/daemon/targets/target_traffic.hpp
+++ b/packages/daemon/include/papayafall/daemon/targets/target_traffic.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "papayafall/core/engine/sinks.hpp"
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
 #include <prometheus/registry.h>
 
@@ -13,7 +13,7 @@
 
 struct target_traffic_options {
     std::size_t threads = 1;
-    http_client_options http;
+    outbound_options http;
 
     auto operator<=>(const target_traffic_options&) const = default;
 };
--- a/packages/daemon/src/targets/target_metrics.cpp
+++ b/packages/daemon/src/targets/target_metrics.cpp
@@ -42,8 +42,7 @@
     finished_.at(outcome.index())->Increment();
 }
 
-void target_metrics::add_connections(const http_client_counters& before,
-                                     const http_client_counters& now)
+void target_metrics::add_connections(const outbound_counters& before, const outbound_counters& now)
 {
     opened_.Increment(static_cast<double>(now.connections_opened - before.connections_opened));
     renewed_.Increment(static_cast<double>(now.connections_renewed - before.connections_renewed));
--- a/packages/daemon/src/targets/target_metrics.hpp
+++ b/packages/daemon/src/targets/target_metrics.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "papayafall/core/values/work.hpp"
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -21,7 +21,7 @@
     void on_finished(const exchange_outcome& outcome);
 
     /// Adds what a client counted since `before`.
-    void add_connections(const http_client_counters& before, const http_client_counters& now);
+    void add_connections(const outbound_counters& before, const outbound_counters& now);
 
   private:
     std::array<prometheus::Counter*, std::variant_size_v<exchange_outcome>> finished_{};
--- a/packages/daemon/src/targets/target_protocol.cpp
+++ b/packages/daemon/src/targets/target_protocol.cpp
@@ -20,7 +20,7 @@
     return failure{.id = id, .run = run_state::ran, .detail = std::move(detail)};
 }
 
-exchange_outcome decode_response(const http_response& response)
+exchange_outcome decode_response(const outbound_response& response)
 {
     if (response->status == status_ran) {
         return task_answer{.status = response->status, .body = response->body};
@@ -32,19 +32,19 @@
                             "the target answered " + std::to_string(response->status));
 }
 
-exchange_outcome decode_failure(http_failure reason)
+exchange_outcome decode_failure(outbound_failure reason)
 {
     switch (reason) {
-    case http_failure::not_sent:
+    case outbound_failure::not_sent:
         return not_sent{};
-    case http_failure::connection_lost:
+    case outbound_failure::connection_lost:
         return connection_lost{};
-    case http_failure::no_answer:
+    case outbound_failure::no_answer:
         return no_answer{};
-    case http_failure::answer_too_large:
+    case outbound_failure::answer_too_large:
         return failed_after_run(error_id::message_too_large,
                                 "the target's answer is longer than the limit");
-    case http_failure::answer_malformed:
+    case outbound_failure::answer_malformed:
         break;
     }
     return failed_after_run(error_id::malformed_message,
@@ -53,13 +53,13 @@
 
 } // namespace
 
-http_request encode_exchange(const start_exchange& requested, time_point now)
+outbound_request encode_exchange(const start_exchange& requested, time_point now)
 {
-    http_request_fields fields{.server = requested.address,
-                               .path = "/v1/run/" + requested.work->service.text(),
-                               .body = requested.work->body,
-                               .deadline = requested.deadline,
-                               .new_connection = !requested.work->idempotent};
+    outbound_request_fields fields{.server = requested.address,
+                                   .path = "/v1/run/" + requested.work->service.text(),
+                                   .body = requested.work->body,
+                                   .deadline = requested.deadline,
+                                   .new_connection = !requested.work->idempotent};
     fields.headers.push_back(
         {.name = exchange_header, .value = std::to_string(requested.exchange.value())});
     if (requested.deadline != no_deadline) {
@@ -69,11 +69,11 @@
     return {std::move(fields)};
 }
 
-exchange_outcome decode_exchange(const http_outcome& outcome)
+exchange_outcome decode_exchange(const outbound_outcome& outcome)
 {
-    const auto* response = std::get_if<http_response>(&outcome);
+    const auto* response = std::get_if<outbound_response>(&outcome);
     return response != nullptr ? decode_response(*response)
-                               : decode_failure(std::get<http_failure>(outcome));
+                               : decode_failure(std::get<outbound_failure>(outcome));
 }
 
 } // namespace papayafall
--- a/packages/daemon/src/targets/target_thread.cpp
+++ b/packages/daemon/src/targets/target_thread.cpp
@@ -4,7 +4,7 @@
 
 namespace papayafall::detail {
 
-target_worker::target_worker(const http_client_options& options, const clock_source& clock,
+target_worker::target_worker(const outbound_options& options, const clock_source& clock,
                              event_sink& events, target_metrics& metrics)
     : clock_(&clock), events_(&events), metrics_(&metrics), client_(options, clock, *this)
 {
@@ -15,21 +15,21 @@
     if (const auto* start_it = std::get_if<start_exchange>(&requested)) {
         start(*start_it);
     } else if (const auto* abandon_it = std::get_if<abandon_exchange>(&requested)) {
-        client_.abandon(http_call_id(abandon_it->exchange.value()));
+        client_.abandon(outbound_call_id(abandon_it->exchange.value()));
     }
 }
 
 void target_worker::start(const start_exchange& requested)
 {
     metrics_->on_started();
-    client_.post(http_call_id(requested.exchange.value()),
+    client_.post(outbound_call_id(requested.exchange.value()),
                  encode_exchange(requested, clock_->read().steady));
 }
 
-void target_worker::on_finished(http_call_id call, const http_outcome& outcome)
+void target_worker::on_finished(outbound_call_id call, const outbound_outcome& outcome)
 {
     exchange_outcome result = decode_exchange(outcome);
-    const http_client_counters counters = client_.counters();
+    const outbound_counters counters = client_.counters();
     metrics_->on_finished(result);
     metrics_->add_connections(reported_, counters);
     reported_ = counters;
@@ -37,7 +37,7 @@
         exchange_finished{.exchange = exchange_id(call.value()), .outcome = std::move(result)});
 }
 
-target_thread::target_thread(const http_client_options& options, const clock_source& clock,
+target_thread::target_thread(const outbound_options& options, const clock_source& clock,
                              event_sink& events, target_metrics& metrics)
     : actions_([this] {
           QMetaObject::invokeMethod(
--- a/packages/daemon/src/targets/target_thread.hpp
+++ b/packages/daemon/src/targets/target_thread.hpp
@@ -2,7 +2,7 @@
 
 #include "papayafall/core/engine/mailbox.hpp"
 #include "papayafall/core/engine/sinks.hpp"
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 #include "target_metrics.hpp"
 
 #include <QObject>
@@ -12,14 +12,14 @@
 
 /// The part of a traffic thread that lives on it: turns actions into HTTP requests and their ends
 /// into events.
-class target_worker : public QObject, public http_observer {
+class target_worker : public QObject, public outbound_observer {
   public:
-    target_worker(const http_client_options& options, const clock_source& clock, event_sink& events,
+    target_worker(const outbound_options& options, const clock_source& clock, event_sink& events,
                   target_metrics& metrics);
 
     void handle(const action& requested);
 
-    void on_finished(http_call_id call, const http_outcome& outcome) override;
+    void on_finished(outbound_call_id call, const outbound_outcome& outcome) override;
 
   private:
     void start(const start_exchange& requested);
@@ -27,14 +27,14 @@
     const clock_source* clock_;
     event_sink* events_;
     target_metrics* metrics_;
-    http_client client_;
-    http_client_counters reported_;
+    outbound_client client_;
+    outbound_counters reported_;
 };
 
 /// A traffic thread with an event loop and a mailbox.
 class target_thread {
   public:
-    target_thread(const http_client_options& options, const clock_source& clock, event_sink& events,
+    target_thread(const outbound_options& options, const clock_source& clock, event_sink& events,
                   target_metrics& metrics);
     target_thread(const target_thread&) = delete;
     target_thread& operator=(const target_thread&) = delete;
--- a/packages/platform/include/papayafall/platform/http/http_client.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
@@ -3,8 +3,8 @@
 #include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
 #include "papayafall/platform/clock/clock_source.hpp"
-#include "papayafall/platform/http/connection_pool.hpp"
-#include "papayafall/platform/http/http_message.hpp"
+#include "papayafall/platform/outbound/connection_pool.hpp"
+#include "papayafall/platform/outbound/outbound_message.hpp"
 
 #include <QNetworkAccessManager>
 #include <QObject>
@@ -17,22 +17,22 @@
 
 namespace papayafall {
 
-/// Identifies one request of an `http_client`; chosen by its user.
-using http_call_id = basic_number<struct http_call_id_tag>;
+/// Identifies one request of an `outbound_client`; chosen by its user.
+using outbound_call_id = basic_number<struct outbound_call_id_tag>;
 
-/// Learns how the requests of an `http_client` end.
-class http_observer {
+/// Learns how the requests of an `outbound_client` end.
+class outbound_observer {
   public:
-    http_observer() = default;
-    http_observer(const http_observer&) = delete;
-    http_observer& operator=(const http_observer&) = delete;
-    virtual ~http_observer() = default;
+    outbound_observer() = default;
+    outbound_observer(const outbound_observer&) = delete;
+    outbound_observer& operator=(const outbound_observer&) = delete;
+    virtual ~outbound_observer() = default;
 
     /// Called once for each request, in the thread of the client, never from within `post`.
-    virtual void on_finished(http_call_id call, const http_outcome& outcome) = 0;
+    virtual void on_finished(outbound_call_id call, const outbound_outcome& outcome) = 0;
 };
 
-struct http_client_options {
+struct outbound_options {
     /// Longest body of a response, in bytes.
     std::size_t largest_answer = std::size_t{16} * 1024 * 1024;
     /// Time within which a connection has to be open and the request on its way.
@@ -41,19 +41,19 @@
     /// time after which servers close unused connections.
     std::chrono::milliseconds idle_limit{2000};
 
-    auto operator<=>(const http_client_options&) const = default;
+    auto operator<=>(const outbound_options&) const = default;
 };
 
-struct http_client_counters {
+struct outbound_counters {
     std::uint64_t connections_opened = 0;
     std::uint64_t connections_renewed = 0; ///< times that a server's connections were given up
 
-    auto operator<=>(const http_client_counters&) const = default;
+    auto operator<=>(const outbound_counters&) const = default;
 };
 
 namespace detail {
-class http_call_table;
-class http_call;
+class outbound_call_table;
+class outbound_call;
 } // namespace detail
 
 /// Sends POST requests, each exactly once, over as many connections as there are requests in
@@ -63,40 +63,40 @@
 /// carries one request at a time. After a deadline has passed without an answer no present
 /// connection to that server is used again. Redirects, proxies, cookies, HTTP/2, pipelining and
 /// compression are off.
-class http_client : public QObject {
+class outbound_client : public QObject {
   public:
     /// @param clock the clock of the requests' deadlines
-    http_client(const http_client_options& options, const clock_source& clock,
-                http_observer& observer);
-    ~http_client() override;
+    outbound_client(const outbound_options& options, const clock_source& clock,
+                    outbound_observer& observer);
+    ~outbound_client() override;
 
     /// Sends `request`; the observer learns how it ends.
     /// @param call not in progress at present
-    void post(http_call_id call, const http_request& request);
+    void post(outbound_call_id call, const outbound_request& request);
 
     /// Gives up a request: it ends at once with `not_sent` or `connection_lost`. An unknown call
     /// is ignored.
-    void abandon(http_call_id call);
+    void abandon(outbound_call_id call);
 
     std::size_t in_progress() const noexcept;
 
-    http_client_counters counters() const noexcept;
+    outbound_counters counters() const noexcept;
 
   private:
-    void on_reply_finished(http_call_id call);
-    void on_reply_progress(http_call_id call);
+    void on_reply_finished(outbound_call_id call);
+    void on_reply_progress(outbound_call_id call);
     void on_timeout();
-    void give_up(detail::http_call& call, http_failure reason);
-    void finish(detail::http_call& call, const http_outcome& outcome);
+    void give_up(detail::outbound_call& call, outbound_failure reason);
+    void finish(detail::outbound_call& call, const outbound_outcome& outcome);
     void schedule();
 
     time_point now() const { return clock_->read().steady; }
 
-    http_client_options options_;
+    outbound_options options_;
     const clock_source* clock_;
-    http_observer* observer_;
+    outbound_observer* observer_;
     connection_pool pool_;
-    std::unique_ptr<detail::http_call_table> calls_;
+    std::unique_ptr<detail::outbound_call_table> calls_;
     QNetworkAccessManager manager_;
     QTimer timer_;
     time_point wakes_at_ = no_deadline;
--- a/packages/platform/include/papayafall/platform/http/http_message.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_message.hpp
@@ -15,17 +15,17 @@
 namespace papayafall {
 
 /// One header field of a request or a response.
-struct http_header {
+struct outbound_header {
     std::string name;
     std::string value;
 
-    auto operator<=>(const http_header&) const = default;
+    auto operator<=>(const outbound_header&) const = default;
 };
 
-struct http_request_fields {
+struct outbound_request_fields {
     endpoint server;
     std::string path; ///< begins with '/'
-    std::vector<http_header> headers;
+    std::vector<outbound_header> headers;
     bytes body;
     /// Instant at which the exchange ends without an answer.
     time_point deadline = no_deadline;
@@ -33,28 +33,29 @@
     /// request is on its way to it, which leaves the outcome of that request unknown.
     bool new_connection = false;
 
-    auto operator<=>(const http_request_fields&) const = default;
+    auto operator<=>(const outbound_request_fields&) const = default;
 };
 
 /// A POST to a server that is named by address and port.
-using http_request = value<http_request_fields>;
+using outbound_request = value<outbound_request_fields>;
 
-struct http_response_fields {
+struct outbound_response_fields {
     std::uint16_t status = 0;
-    std::vector<http_header> headers;
+    std::vector<outbound_header> headers;
     bytes body;
 
-    auto operator<=>(const http_response_fields&) const = default;
+    auto operator<=>(const outbound_response_fields&) const = default;
 };
 
 /// A response that arrived whole.
-using http_response = value<http_response_fields>;
+using outbound_response = value<outbound_response_fields>;
 
 /// Returns the value of the header `name`, compared without case, or nothing.
-std::optional<std::string_view> find_header(const http_response& response, std::string_view name);
+std::optional<std::string_view> find_header(const outbound_response& response,
+                                            std::string_view name);
 
 /// Why a request got no whole response.
-enum class http_failure : std::uint8_t {
+enum class outbound_failure : std::uint8_t {
     not_sent,         ///< no byte of the body was written
     connection_lost,  ///< the connection broke after a byte may have been written
     no_answer,        ///< the deadline passed first, after a byte may have been written
@@ -63,6 +64,6 @@
 };
 
 /// How a request ended.
-using http_outcome = std::variant<http_response, http_failure>;
+using outbound_outcome = std::variant<outbound_response, outbound_failure>;
 
 } // namespace papayafall
--- a/packages/platform/src/http/connection_pool.cpp
+++ b/packages/platform/src/outbound/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "papayafall/platform/http/connection_pool.hpp"
+#include "papayafall/platform/outbound/connection_pool.hpp"
 
 namespace papayafall {
 
--- a/packages/platform/src/http/one_shot_body.cpp
+++ b/packages/platform/src/outbound/one_shot_body.cpp
@@ -1,4 +1,4 @@
-#include "papayafall/platform/http/one_shot_body.hpp"
+#include "papayafall/platform/outbound/one_shot_body.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/packages/platform/src/http/http_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "papayafall/platform/http/connection_pool.hpp"
-#include "papayafall/platform/http/http_client.hpp"
-#include "papayafall/platform/http/one_shot_body.hpp"
+#include "papayafall/platform/outbound/connection_pool.hpp"
+#include "papayafall/platform/outbound/one_shot_body.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
 #include <QNetworkReply>
 
@@ -15,11 +15,13 @@
 namespace papayafall::detail {
 
 /// A request in progress, ordered by its number and by the instant at which it is looked at next.
-class http_call : public boost::intrusive_ref_counter<http_call, boost::thread_unsafe_counter>,
-                  public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_number>>,
-                  public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_due>> {
+class outbound_call
+    : public boost::intrusive_ref_counter<outbound_call, boost::thread_unsafe_counter>,
+      public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_number>>,
+      public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_due>> {
   public:
-    http_call(http_call_id it, http_request content, connection_id used, time_point first_due)
+    outbound_call(outbound_call_id it, outbound_request content, connection_id used,
+                  time_point first_due)
         : id(it), request(std::move(content)), connection(used), due(first_due)
     {
     }
@@ -36,24 +38,24 @@
     /// Whether no byte of the body can have reached the server.
     bool unsent() const noexcept { return request->body.size() > 0 && !body->was_read(); }
 
-    const http_call_id id;
-    const http_request request;
+    const outbound_call_id id;
+    const outbound_request request;
     const connection_id connection;
     time_point due;
     one_shot_body* body = nullptr;
     QNetworkReply* reply = nullptr;
 };
 
-using http_call_ptr = boost::intrusive_ptr<http_call>;
+using outbound_call_ptr = boost::intrusive_ptr<outbound_call>;
 
 /// The requests of a client that are in progress.
-class http_call_table {
+class outbound_call_table {
   public:
-    http_call_table() = default;
-    http_call_table(const http_call_table&) = delete;
-    http_call_table& operator=(const http_call_table&) = delete;
+    outbound_call_table() = default;
+    outbound_call_table(const outbound_call_table&) = delete;
+    outbound_call_table& operator=(const outbound_call_table&) = delete;
 
-    ~http_call_table()
+    ~outbound_call_table()
     {
         while (!numbers_.empty()) {
             erase(*numbers_.begin());
@@ -61,7 +63,7 @@
     }
 
     /// Complexity: logarithmic.
-    void insert(const http_call_ptr& call)
+    void insert(const outbound_call_ptr& call)
     {
         numbers_.insert(*call);
         dues_.insert(*call);
@@ -69,20 +71,20 @@
     }
 
     /// Returns the call, or nullptr. Complexity: logarithmic.
-    http_call_ptr find(http_call_id id)
+    outbound_call_ptr find(outbound_call_id id)
     {
         const auto it = numbers_.find(id);
-        return it == numbers_.end() ? nullptr : http_call_ptr(&*it);
+        return it == numbers_.end() ? nullptr : outbound_call_ptr(&*it);
     }
 
-    void erase(http_call& call)
+    void erase(outbound_call& call)
     {
-        const http_call_ptr last(&call, false);
+        const outbound_call_ptr last(&call, false);
         numbers_.erase(numbers_.iterator_to(call));
         dues_.erase(dues_.iterator_to(call));
     }
 
-    void postpone(http_call& call, time_point due)
+    void postpone(outbound_call& call, time_point due)
     {
         dues_.erase(dues_.iterator_to(call));
         call.due = due;
@@ -90,31 +92,37 @@
     }
 
     /// Returns the call that is to be looked at first, or nullptr.
-    http_call_ptr first_due() { return dues_.empty() ? nullptr : http_call_ptr(&*dues_.begin()); }
+    outbound_call_ptr first_due()
+    {
+        return dues_.empty() ? nullptr : outbound_call_ptr(&*dues_.begin());
+    }
 
-    http_call_ptr first() { return numbers_.empty() ? nullptr : http_call_ptr(&*numbers_.begin()); }
+    outbound_call_ptr first()
+    {
+        return numbers_.empty() ? nullptr : outbound_call_ptr(&*numbers_.begin());
+    }
 
     std::size_t size() const noexcept { return numbers_.size(); }
 
   private:
     struct number_of {
-        using type = http_call_id;
+        using type = outbound_call_id;
 
-        const http_call_id& operator()(const http_call& it) const noexcept { return it.id; }
+        const outbound_call_id& operator()(const outbound_call& it) const noexcept { return it.id; }
     };
 
     struct due_of {
         using type = time_point;
 
-        const time_point& operator()(const http_call& it) const noexcept { return it.due; }
+        const time_point& operator()(const outbound_call& it) const noexcept { return it.due; }
     };
 
-    boost::intrusive::set<http_call,
+    boost::intrusive::set<outbound_call,
                           boost::intrusive::base_hook<boost::intrusive::set_base_hook<
                               boost::intrusive::tag<struct by_number>>>,
                           boost::intrusive::key_of_value<number_of>>
         numbers_;
-    boost::intrusive::multiset<http_call,
+    boost::intrusive::multiset<outbound_call,
                                boost::intrusive::base_hook<boost::intrusive::set_base_hook<
                                    boost::intrusive::tag<struct by_due>>>,
                                boost::intrusive::key_of_value<due_of>>
--- a/packages/platform/src/http/http_client.cpp
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -1,6 +1,6 @@
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
-#include "http_call.hpp"
+#include "outbound_call.hpp"
 
 #include <QNetworkProxy>
 #include <QNetworkRequest>
@@ -16,7 +16,7 @@
 /// Shortest time between two looks at the deadlines.
 constexpr std::chrono::milliseconds timer_resolution{1};
 
-QUrl make_url(const http_request& request)
+QUrl make_url(const outbound_request& request)
 {
     QUrl url;
     url.setScheme(QStringLiteral("http"));
@@ -56,7 +56,8 @@
                          static_cast<int>(idle_limit.count()));
 }
 
-QNetworkRequest make_request(const detail::http_call& call, std::chrono::milliseconds idle_limit)
+QNetworkRequest make_request(const detail::outbound_call& call,
+                             std::chrono::milliseconds idle_limit)
 {
     QNetworkRequest request(make_url(call.request));
     restrict_features(request);
@@ -71,7 +72,7 @@
                       QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
     request.setHeader(QNetworkRequest::ContentTypeHeader,
                       QStringLiteral("application/octet-stream"));
-    for (const http_header& it : call.request->headers) {
+    for (const outbound_header& it : call.request->headers) {
         request.setRawHeader(QByteArray::fromStdString(it.name),
                              QByteArray::fromStdString(it.value));
     }
@@ -111,14 +112,14 @@
            reply.rawHeader("Transfer-Encoding").toLower().contains("chunked");
 }
 
-http_response read_response(QNetworkReply& reply)
+outbound_response read_response(QNetworkReply& reply)
 {
-    http_response_fields fields;
+    outbound_response_fields fields;
     fields.status = static_cast<std::uint16_t>(
         reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toUInt());
     for (const auto& [name, value] : reply.rawHeaderPairs()) {
         fields.headers.push_back(
-            http_header{.name = name.toStdString(), .value = value.toStdString()});
+            outbound_header{.name = name.toStdString(), .value = value.toStdString()});
     }
     fields.body = bytes(reply.readAll().toStdString());
     return {std::move(fields)};
@@ -131,41 +132,41 @@
            reply.header(QNetworkRequest::ContentLengthHeader).toLongLong() > allowed;
 }
 
-http_outcome read_outcome(const detail::http_call& call, std::size_t limit)
+outbound_outcome read_outcome(const detail::outbound_call& call, std::size_t limit)
 {
     QNetworkReply& reply = *call.reply;
     const bool has_status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).isValid();
     const bool broken = is_connection_error(reply.error()) && !is_unfollowed_redirect(reply);
     if (!has_status || broken) {
         const bool unsent = call.unsent() || was_refused(reply.error());
-        return unsent ? http_failure::not_sent : http_failure::connection_lost;
+        return unsent ? outbound_failure::not_sent : outbound_failure::connection_lost;
     }
     if (exceeds(reply, limit)) {
-        return http_failure::answer_too_large;
+        return outbound_failure::answer_too_large;
     }
     if (!is_delimited(reply)) {
-        return http_failure::answer_malformed;
+        return outbound_failure::answer_malformed;
     }
     return read_response(reply);
 }
 
 } // namespace
 
-http_client::http_client(const http_client_options& options, const clock_source& clock,
-                         http_observer& observer)
+outbound_client::outbound_client(const outbound_options& options, const clock_source& clock,
+                                 outbound_observer& observer)
     : options_(options), clock_(&clock), observer_(&observer), pool_(options.idle_limit),
-      calls_(std::make_unique<detail::http_call_table>())
+      calls_(std::make_unique<detail::outbound_call_table>())
 {
     manager_.setProxy(QNetworkProxy::NoProxy);
     manager_.setAutoDeleteReplies(false);
     timer_.setSingleShot(true);
     timer_.setTimerType(Qt::PreciseTimer);
-    connect(&timer_, &QTimer::timeout, this, &http_client::on_timeout);
+    connect(&timer_, &QTimer::timeout, this, &outbound_client::on_timeout);
 }
 
-http_client::~http_client()
+outbound_client::~outbound_client()
 {
-    while (const detail::http_call_ptr call = calls_->first()) {
+    while (const detail::outbound_call_ptr call = calls_->first()) {
         call->reply->disconnect(this);
         call->reply->abort();
         delete call->reply;
@@ -173,13 +174,13 @@
     }
 }
 
-void http_client::post(http_call_id call, const http_request& request)
+void outbound_client::post(outbound_call_id call, const outbound_request& request)
 {
     const time_point started_at = now();
     const time_point connected_by = started_at + options_.connect_limit;
     const connection_id connection =
         request->new_connection ? pool_.acquire_new() : pool_.acquire(request->server, started_at);
-    const detail::http_call_ptr it(new detail::http_call(
+    const detail::outbound_call_ptr it(new detail::outbound_call(
         call, request, connection, std::min(connected_by, request->deadline)));
     auto* body = new one_shot_body(request->body);
     it->attach(manager_.post(make_request(*it, options_.idle_limit), body), body);
@@ -191,49 +192,49 @@
     schedule();
 }
 
-void http_client::abandon(http_call_id call)
+void outbound_client::abandon(outbound_call_id call)
 {
-    const detail::http_call_ptr it = calls_->find(call);
+    const detail::outbound_call_ptr it = calls_->find(call);
     if (it) {
-        give_up(*it, http_failure::connection_lost);
+        give_up(*it, outbound_failure::connection_lost);
     }
 }
 
-std::size_t http_client::in_progress() const noexcept
+std::size_t outbound_client::in_progress() const noexcept
 {
     return calls_->size();
 }
 
-http_client_counters http_client::counters() const noexcept
+outbound_counters outbound_client::counters() const noexcept
 {
     return {.connections_opened = pool_.opened(), .connections_renewed = renewed_};
 }
 
-void http_client::on_reply_finished(http_call_id call)
+void outbound_client::on_reply_finished(outbound_call_id call)
 {
-    const detail::http_call_ptr it = calls_->find(call);
+    const detail::outbound_call_ptr it = calls_->find(call);
     if (!it) {
         return;
     }
-    const http_outcome outcome = read_outcome(*it, options_.largest_answer);
+    const outbound_outcome outcome = read_outcome(*it, options_.largest_answer);
     const bool reusable = !it->request->new_connection &&
                           it->reply->error() != QNetworkReply::ContentReSendError &&
-                          std::holds_alternative<http_response>(outcome);
+                          std::holds_alternative<outbound_response>(outcome);
     if (reusable) {
         pool_.release(it->request->server, it->connection, now());
     }
     finish(*it, outcome);
 }
 
-void http_client::on_reply_progress(http_call_id call)
+void outbound_client::on_reply_progress(outbound_call_id call)
 {
-    const detail::http_call_ptr it = calls_->find(call);
+    const detail::outbound_call_ptr it = calls_->find(call);
     if (it && exceeds(*it->reply, options_.largest_answer)) {
-        give_up(*it, http_failure::answer_too_large);
+        give_up(*it, outbound_failure::answer_too_large);
     }
 }
 
-void http_client::on_timeout()
+void outbound_client::on_timeout()
 {
     const time_point checked_at = now();
     for (auto it = calls_->first_due(); it && it->due <= checked_at; it = calls_->first_due()) {
@@ -243,31 +244,31 @@
         }
         pool_.renew(it->request->server);
         ++renewed_;
-        give_up(*it, http_failure::no_answer);
+        give_up(*it, outbound_failure::no_answer);
     }
     schedule();
 }
 
-void http_client::give_up(detail::http_call& call, http_failure reason)
+void outbound_client::give_up(detail::outbound_call& call, outbound_failure reason)
 {
     const bool unsent = call.unsent();
     call.reply->disconnect(this);
     call.reply->abort();
-    finish(call, unsent ? http_failure::not_sent : reason);
+    finish(call, unsent ? outbound_failure::not_sent : reason);
 }
 
-void http_client::finish(detail::http_call& call, const http_outcome& outcome)
+void outbound_client::finish(detail::outbound_call& call, const outbound_outcome& outcome)
 {
-    const detail::http_call_ptr keep(&call);
+    const detail::outbound_call_ptr keep(&call);
     call.reply->deleteLater();
     calls_->erase(call);
     schedule();
     observer_->on_finished(call.id, outcome);
 }
 
-void http_client::schedule()
+void outbound_client::schedule()
 {
-    const detail::http_call_ptr first = calls_->first_due();
+    const detail::outbound_call_ptr first = calls_->first_due();
     if (!first || first->due == no_deadline) {
         timer_.stop();
         return;
--- a/packages/platform/src/http/http_message.cpp
+++ b/packages/platform/src/outbound/outbound_message.cpp
@@ -1,4 +1,4 @@
-#include "papayafall/platform/http/http_message.hpp"
+#include "papayafall/platform/outbound/outbound_message.hpp"
 
 #include <algorithm>
 
@@ -19,9 +19,10 @@
 
 } // namespace
 
-std::optional<std::string_view> find_header(const http_response& response, std::string_view name)
+std::optional<std::string_view> find_header(const outbound_response& response,
+                                            std::string_view name)
 {
-    for (const http_header& it : response->headers) {
+    for (const outbound_header& it : response->headers) {
         if (same_name(it.name, name)) {
             return it.value;
         }
--- a/packages/platform/tests/http/unit-http-client.cpp
+++ b/packages/platform/tests/outbound/unit-outbound-client.cpp
@@ -1,4 +1,4 @@
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 #include "support/event_loop.hpp"
 #include "support/scripted_server.hpp"
 #include "support/test_application.hpp"
@@ -12,18 +12,18 @@
 
 namespace {
 
-class outcome_recorder : public http_observer {
+class outcome_recorder : public outbound_observer {
   public:
-    void on_finished(http_call_id call, const http_outcome& outcome) override
+    void on_finished(outbound_call_id call, const outbound_outcome& outcome) override
     {
         outcomes.emplace(call.value(), outcome);
     }
 
-    std::map<std::uint64_t, http_outcome> outcomes;
+    std::map<std::uint64_t, outbound_outcome> outcomes;
 };
 
-class http_client_test : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(http_client_test);
+class outbound_client_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(outbound_client_test);
     CPPUNIT_TEST(post_carries_body_and_headers);
     CPPUNIT_TEST(server_that_closes_gets_a_post_once);
     CPPUNIT_TEST(server_that_closes_a_reused_connection_gets_a_post_once);
@@ -64,10 +64,10 @@
         server_->on_request = [](const scripted_request& it) {
             scripted_server::answer(it, "yes");
         };
-        const http_outcome outcome = post_and_wait("task");
+        const outbound_outcome outcome = post_and_wait("task");
 
         CPPUNIT_ASSERT_EQUAL(std::string("yes"),
-                             std::string(std::get<http_response>(outcome)->body.view()));
+                             std::string(std::get<outbound_response>(outcome)->body.view()));
         const scripted_request& seen = server_->requests.at(0);
         CPPUNIT_ASSERT(seen.body == "task");
         CPPUNIT_ASSERT(seen.head.startsWith("POST /v1/run/quote HTTP/1.1\r\n"));
@@ -78,7 +78,7 @@
     void server_that_closes_gets_a_post_once()
     {
         server_->on_request = [](const scripted_request& it) { it.socket->abort(); };
-        expect_failure(http_failure::connection_lost, post_and_wait("task"));
+        expect_failure(outbound_failure::connection_lost, post_and_wait("task"));
         settle();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests.size());
     }
@@ -93,7 +93,7 @@
             it.socket->disconnectFromHost();
         };
         post_and_wait("first");
-        expect_failure(http_failure::connection_lost, post_and_wait("second"));
+        expect_failure(outbound_failure::connection_lost, post_and_wait("second"));
         settle();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, server_->requests.size());
         CPPUNIT_ASSERT_EQUAL(1, server_->connections);
@@ -102,7 +102,7 @@
     void empty_post_is_sent_once()
     {
         server_->on_request = [](const scripted_request& it) { it.socket->abort(); };
-        expect_failure(http_failure::connection_lost, post_and_wait(""));
+        expect_failure(outbound_failure::connection_lost, post_and_wait(""));
         settle();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests.size());
     }
@@ -111,8 +111,8 @@
     {
         const std::uint16_t port = server_->serverPort();
         server_->close();
-        expect_failure(http_failure::not_sent, post_and_wait("task", 10s, port));
-        expect_failure(http_failure::not_sent, post_and_wait("", 10s, port));
+        expect_failure(outbound_failure::not_sent, post_and_wait("task", 10s, port));
+        expect_failure(outbound_failure::not_sent, post_and_wait("", 10s, port));
     }
 
     void twenty_requests_run_at_once()
@@ -162,7 +162,7 @@
         server_->on_request = [](const scripted_request& it) { scripted_server::answer(it); };
         post_and_wait("task");
         for (int n = 0; n < 3; ++n) {
-            const http_call_id call = post("task", 10s, {}, true);
+            const outbound_call_id call = post("task", 10s, {}, true);
             CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.contains(call.value()); }));
         }
         CPPUNIT_ASSERT_EQUAL(4, server_->connections);
@@ -181,21 +181,21 @@
         post("first", 10s);
         post("first", 10s);
         CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.size() == 2; }));
-        expect_failure(http_failure::no_answer, post_and_wait("second", 50ms));
-        const http_outcome outcome = post_and_wait("third");
+        expect_failure(outbound_failure::no_answer, post_and_wait("second", 50ms));
+        const outbound_outcome outcome = post_and_wait("third");
 
-        CPPUNIT_ASSERT(std::holds_alternative<http_response>(outcome));
+        CPPUNIT_ASSERT(std::holds_alternative<outbound_response>(outcome));
         CPPUNIT_ASSERT_EQUAL(3, server_->connections);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client_->counters().connections_renewed);
     }
 
     void abandoned_request_closes_its_connection()
     {
-        const http_call_id call = post("task", 10s);
+        const outbound_call_id call = post("task", 10s);
         CPPUNIT_ASSERT(run_until([&] { return server_->requests.size() == 1; }));
         client_->abandon(call);
         client_->abandon(call);
-        expect_failure(http_failure::connection_lost, recorder_->outcomes.at(call.value()));
+        expect_failure(outbound_failure::connection_lost, recorder_->outcomes.at(call.value()));
         CPPUNIT_ASSERT(run_until([&] { return server_->closed == 1; }));
     }
 
@@ -205,8 +205,8 @@
         server_->on_request = [](const scripted_request& it) {
             scripted_server::answer(it, QByteArray(it.body == "fits" ? 10 : 11, 'x'));
         };
-        CPPUNIT_ASSERT(std::holds_alternative<http_response>(post_and_wait("fits")));
-        expect_failure(http_failure::answer_too_large, post_and_wait("over"));
+        CPPUNIT_ASSERT(std::holds_alternative<outbound_response>(post_and_wait("fits")));
+        expect_failure(outbound_failure::answer_too_large, post_and_wait("over"));
     }
 
     void long_chunked_answer_is_refused()
@@ -216,7 +216,7 @@
             it.socket->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                              "b\r\nxxxxxxxxxxx\r\n");
         };
-        expect_failure(http_failure::answer_too_large, post_and_wait("task"));
+        expect_failure(outbound_failure::answer_too_large, post_and_wait("task"));
     }
 
     void redirect_is_not_followed()
@@ -225,8 +225,8 @@
             it.socket->write("HTTP/1.1 307 Temporary Redirect\r\nLocation: /elsewhere\r\n"
                              "Content-Length: 0\r\n\r\n");
         };
-        const http_outcome outcome = post_and_wait("task");
-        CPPUNIT_ASSERT_EQUAL(std::uint16_t{307}, std::get<http_response>(outcome)->status);
+        const outbound_outcome outcome = post_and_wait("task");
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{307}, std::get<outbound_response>(outcome)->status);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->requests.size());
     }
 
@@ -239,8 +239,8 @@
                                  : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
             it.socket->disconnectFromHost();
         };
-        expect_failure(http_failure::connection_lost, post_and_wait("sized"));
-        expect_failure(http_failure::connection_lost, post_and_wait("chunked"));
+        expect_failure(outbound_failure::connection_lost, post_and_wait("sized"));
+        expect_failure(outbound_failure::connection_lost, post_and_wait("chunked"));
     }
 
     void undelimited_answer_is_malformed()
@@ -249,7 +249,7 @@
             it.socket->write("HTTP/1.1 200 OK\r\n\r\nab");
             it.socket->disconnectFromHost();
         };
-        expect_failure(http_failure::answer_malformed, post_and_wait("task"));
+        expect_failure(outbound_failure::answer_malformed, post_and_wait("task"));
     }
 
     void error_statuses_are_responses()
@@ -259,23 +259,23 @@
         };
         for (const char* it :
              {"204", "400", "401", "403", "404", "409", "418", "429", "500", "503"}) {
-            const http_outcome outcome = post_and_wait(it);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(it, std::string(it),
-                                         std::to_string(std::get<http_response>(outcome)->status));
+            const outbound_outcome outcome = post_and_wait(it);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                it, std::string(it), std::to_string(std::get<outbound_response>(outcome)->status));
         }
     }
 
   private:
-    void make_client(const http_client_options& options)
+    void make_client(const outbound_options& options)
     {
-        client_ = std::make_unique<http_client>(options, clock_, *recorder_);
+        client_ = std::make_unique<outbound_client>(options, clock_, *recorder_);
     }
 
-    http_call_id post(const std::string& body, duration time_limit,
-                      std::optional<std::uint16_t> port = {}, bool new_connection = false)
+    outbound_call_id post(const std::string& body, duration time_limit,
+                          std::optional<std::uint16_t> port = {}, bool new_connection = false)
     {
         last_ = last_.next();
-        client_->post(last_, http_request(http_request_fields{
+        client_->post(last_, outbound_request(outbound_request_fields{
                                  .server = {.address = "127.0.0.1",
                                             .port = port.value_or(server_->serverPort())},
                                  .path = "/v1/run/quote",
@@ -286,10 +286,10 @@
         return last_;
     }
 
-    http_outcome post_and_wait(const std::string& body, duration time_limit = 10s,
-                               std::optional<std::uint16_t> port = {})
+    outbound_outcome post_and_wait(const std::string& body, duration time_limit = 10s,
+                                   std::optional<std::uint16_t> port = {})
     {
-        const http_call_id call = post(body, time_limit, port);
+        const outbound_call_id call = post(body, time_limit, port);
         CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.contains(call.value()); }));
         return recorder_->outcomes.at(call.value());
     }
@@ -300,20 +300,20 @@
         run_until([] { return false; }, 50ms);
     }
 
-    static void expect_failure(http_failure expected, const http_outcome& outcome)
+    static void expect_failure(outbound_failure expected, const outbound_outcome& outcome)
     {
-        CPPUNIT_ASSERT(std::holds_alternative<http_failure>(outcome));
+        CPPUNIT_ASSERT(std::holds_alternative<outbound_failure>(outcome));
         CPPUNIT_ASSERT_EQUAL(static_cast<int>(expected),
-                             static_cast<int>(std::get<http_failure>(outcome)));
+                             static_cast<int>(std::get<outbound_failure>(outcome)));
     }
 
     system_clock_source clock_;
     std::unique_ptr<scripted_server> server_;
     std::unique_ptr<outcome_recorder> recorder_;
-    std::unique_ptr<http_client> client_;
-    http_call_id last_;
+    std::unique_ptr<outbound_client> client_;
+    outbound_call_id last_;
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(http_client_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(outbound_client_test);
 
 } // namespace
