--- /dev/null
+++ b/packages/cli/src/load/planned_request.cpp
@@ -0,0 +1,197 @@
+#include "papayafall/cli/load/planned_request.hpp"
+
+#include "papayafall/cli/load/load_profile.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <random>
+
+namespace papayafall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Offered rate from which on a request counts as sent at the crest, as a multiple of the lowest.
+constexpr double crest_factor = 2.5;
+
+/// A range of run times and its share of all tasks.
+struct run_time_range {
+    double share;
+    double shortest_ms;
+    double longest_ms;
+};
+
+constexpr std::array<run_time_range, 3> run_time_mix{{
+    {.share = 0.95, .shortest_ms = 50, .longest_ms = 1000},
+    {.share = 0.045, .shortest_ms = 2000, .longest_ms = 6000},
+    {.share = 0.005, .shortest_ms = 10'000, .longest_ms = 30'000},
+}};
+constexpr double longest_short_run_ms = 1000;
+
+/// A declared run time is off by up to this factor, either way.
+constexpr double declaration_error = 10;
+
+constexpr double urgent_share = 0.2;
+constexpr double background_share = 0.2;
+
+/// Cancellations of one period come together at its end.
+constexpr milliseconds cancellation_period{1000};
+
+class request_planner {
+  public:
+    explicit request_planner(const load_plan& plan)
+        : plan_(plan), length_(std::chrono::duration<double>(plan.length).count()),
+          profile_(make_load_profile(plan.profile, length_)), random_(plan.seed)
+    {
+    }
+
+    std::vector<planned_request> run()
+    {
+        std::vector<planned_request> requests;
+        const double highest_rate = plan_.rate * load_profile::swing;
+        std::exponential_distribution<double> gap(highest_rate);
+        for (double at = gap(random_); at < length_; at += gap(random_)) {
+            const double factor = profile_->factor(at);
+            if (!chance(factor / load_profile::swing)) {
+                continue;
+            }
+            requests.push_back(make_request(at, factor, requests.size()));
+        }
+        return requests;
+    }
+
+  private:
+    bool chance(double share) { return std::bernoulli_distribution(share)(random_); }
+
+    double uniform(double low, double high)
+    {
+        return std::uniform_real_distribution<double>(low, high)(random_);
+    }
+
+    double log_uniform(double low, double high)
+    {
+        return std::exp(uniform(std::log(low), std::log(high)));
+    }
+
+    std::size_t index(std::size_t size)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
+    }
+
+    planned_request make_request(double at, double factor, std::uint64_t number)
+    {
+        planned_request_fields fields{
+            .number = number,
+            .first = {.at = to_duration(at), .host = choose_host(number)},
+            .service = plan_.services.at(index(plan_.services.size())),
+            .urgency = choose_urgency(),
+            .phase = factor >= crest_factor ? load_phase::crest : load_phase::calm,
+            .job = chance(plan_.job_share),
+            .keyed = chance(plan_.keyed_share),
+        };
+        add_tasks(fields);
+        add_resubmission(fields);
+        add_cancellation(fields);
+        return {std::move(fields)};
+    }
+
+    static duration to_duration(double seconds)
+    {
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    }
+
+    std::size_t choose_host(std::uint64_t number)
+    {
+        return plan_.choice == host_choice::random ? index(plan_.hosts.size())
+                                                   : number % plan_.hosts.size();
+    }
+
+    urgency_level choose_urgency()
+    {
+        const double it = uniform(0, 1);
+        if (it < urgent_share) {
+            return urgency_level::urgent;
+        }
+        return it < 1 - background_share ? urgency_level::normal : urgency_level::background;
+    }
+
+    void add_tasks(planned_request_fields& fields)
+    {
+        const std::size_t count = fields.job ? 1 + index(plan_.largest_job) : 1;
+        double longest_ms = 0;
+        for (std::size_t n = 0; n < count; ++n) {
+            const double run_ms = choose_run_time();
+            longest_ms = std::max(longest_ms, run_ms);
+            const double declared_ms =
+                run_ms * log_uniform(1 / declaration_error, declaration_error);
+            fields.tasks.push_back({.id = plan_.run + "." + std::to_string(fields.number) + "." +
+                                          std::to_string(n),
+                                    .run_time = scaled(run_ms),
+                                    .declared_run_time = scaled(declared_ms)});
+        }
+        fields.run =
+            longest_ms > longest_short_run_ms ? run_class::long_run : run_class::short_run;
+        fields.longest_run = scaled(longest_ms);
+        fields.time_limit =
+            scaled(static_cast<double>(plan_.time_limit.count()) + 2 * longest_ms);
+    }
+
+    double choose_run_time()
+    {
+        double left = uniform(0, 1);
+        for (const run_time_range& it : run_time_mix) {
+            left -= it.share;
+            if (left < 0) {
+                return log_uniform(it.shortest_ms, it.longest_ms);
+            }
+        }
+        return run_time_mix.back().longest_ms;
+    }
+
+    milliseconds scaled(double ms) const
+    {
+        return milliseconds(std::max(1L, std::lround(ms * plan_.time_scale)));
+    }
+
+    void add_resubmission(planned_request_fields& fields)
+    {
+        if (!chance(plan_.resubmitted_share)) {
+            return;
+        }
+        const double delay_ms = uniform(0, 2) * static_cast<double>(fields.longest_run.count());
+        fields.keyed = true;
+        fields.again = planned_sending{
+            .at = fields.first.at + to_duration(delay_ms / 1000),
+            .host = (fields.first.host + 1) % plan_.hosts.size(),
+        };
+    }
+
+    void add_cancellation(planned_request_fields& fields)
+    {
+        if (!chance(plan_.cancelled_share)) {
+            return;
+        }
+        const auto period = std::chrono::ceil<milliseconds>(fields.first.at) / cancellation_period;
+        fields.keyed = true;
+        fields.cancel = planned_sending{
+            .at = (period + 1) * cancellation_period,
+            .host = fields.first.host,
+        };
+    }
+
+    const load_plan& plan_;
+    double length_;
+    std::unique_ptr<load_profile> profile_;
+    std::mt19937_64 random_;
+};
+
+} // namespace
+
+std::vector<planned_request> plan_requests(const load_plan& plan)
+{
+    return request_planner(plan).run();
+}
+
+} // namespace papayafall
--- a/packages/daemon/src/targets/target_thread.cpp
+++ b/packages/daemon/src/targets/target_thread.cpp
@@ -22,7 +22,7 @@
 void target_worker::start(const start_exchange& requested)
 {
     metrics_->on_started();
-    client_.post(outbound_call_id(requested.exchange.value()),
+    client_.send(outbound_call_id(requested.exchange.value()),
                  encode_exchange(requested, clock_->read().steady));
 }
 
--- a/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
@@ -28,7 +28,7 @@
     outbound_observer& operator=(const outbound_observer&) = delete;
     virtual ~outbound_observer() = default;
 
-    /// Called once for each request, in the thread of the client, never from within `post`.
+    /// Called once for each request, in the thread of the client, never from within `send`.
     virtual void on_finished(outbound_call_id call, const outbound_outcome& outcome) = 0;
 };
 
@@ -56,7 +56,7 @@
 class outbound_call;
 } // namespace detail
 
-/// Sends POST requests, each exactly once, over as many connections as there are requests in
+/// Sends requests, a POST at most once, over as many connections as there are requests in
 /// progress.
 ///
 /// It belongs to the thread that constructs it and needs an event loop there. Each connection
@@ -72,7 +72,7 @@
 
     /// Sends `request`; the observer learns how it ends.
     /// @param call not in progress at present
-    void post(outbound_call_id call, const outbound_request& request);
+    void send(outbound_call_id call, const outbound_request& request);
 
     /// Gives up a request: it ends at once with `not_sent` or `connection_lost`. An unknown call
     /// is ignored.
@@ -83,6 +83,7 @@
     outbound_counters counters() const noexcept;
 
   private:
+    void start(detail::outbound_call& call);
     void on_reply_finished(outbound_call_id call);
     void on_reply_progress(outbound_call_id call);
     void on_timeout();
--- a/packages/platform/include/papayafall/platform/outbound/outbound_message.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_message.hpp
@@ -22,11 +22,15 @@
     auto operator<=>(const outbound_header&) const = default;
 };
 
+/// `post` is sent at most once; the others may be sent again by the library.
+enum class outbound_method : std::uint8_t { post, get, remove };
+
 struct outbound_request_fields {
     endpoint server;
+    outbound_method method = outbound_method::post;
     std::string path; ///< begins with '/'
     std::vector<outbound_header> headers;
-    bytes body;
+    bytes body; ///< of a `post`
     /// Instant at which the exchange ends without an answer.
     time_point deadline = no_deadline;
     /// Use a connection that carries nothing else. A server may close an unused connection while a
@@ -36,7 +40,7 @@
     auto operator<=>(const outbound_request_fields&) const = default;
 };
 
-/// A POST to a server that is named by address and port.
+/// A request to a server that is named by address and port.
 using outbound_request = value<outbound_request_fields>;
 
 struct outbound_response_fields {
--- a/packages/platform/src/outbound/outbound_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -27,16 +27,18 @@
     }
 
     /// Takes note of what the library uses for the call; `reply` comes to own `content`, which it
-    /// may read until it is deleted.
+    /// may read until it is deleted. `content` is null for a request without a body.
     void attach(QNetworkReply* started, one_shot_body* content)
     {
         reply = started;
         body = content;
-        body->setParent(reply);
+        if (body != nullptr) {
+            body->setParent(reply);
+        }
     }
 
     /// Whether no byte of the body can have reached the server.
-    bool unsent() const noexcept { return request->body.size() > 0 && !body->was_read(); }
+    bool unsent() const noexcept { return body != nullptr && request->body.size() > 0 && !body->was_read(); }
 
     const outbound_call_id id;
     const outbound_request request;
--- a/packages/platform/src/outbound/outbound_client.cpp
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -68,10 +68,12 @@
     if (single) {
         request.setRawHeader("Connection", "close");
     }
-    request.setHeader(QNetworkRequest::ContentLengthHeader,
-                      QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
-    request.setHeader(QNetworkRequest::ContentTypeHeader,
-                      QStringLiteral("application/octet-stream"));
+    if (call.request->method == outbound_method::post) {
+        request.setHeader(QNetworkRequest::ContentLengthHeader,
+                          QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
+        request.setHeader(QNetworkRequest::ContentTypeHeader,
+                          QStringLiteral("application/octet-stream"));
+    }
     for (const outbound_header& it : call.request->headers) {
         request.setRawHeader(QByteArray::fromStdString(it.name),
                              QByteArray::fromStdString(it.value));
@@ -174,7 +176,7 @@
     }
 }
 
-void outbound_client::post(outbound_call_id call, const outbound_request& request)
+void outbound_client::send(outbound_call_id call, const outbound_request& request)
 {
     const time_point started_at = now();
     const time_point connected_by = started_at + options_.connect_limit;
@@ -182,8 +184,7 @@
         request->new_connection ? pool_.acquire_new() : pool_.acquire(request->server, started_at);
     const detail::outbound_call_ptr it(new detail::outbound_call(
         call, request, connection, std::min(connected_by, request->deadline)));
-    auto* body = new one_shot_body(request->body);
-    it->attach(manager_.post(make_request(*it, options_.idle_limit), body), body);
+    start(*it);
     connect(it->reply, &QNetworkReply::finished, this, [this, call] { on_reply_finished(call); });
     connect(it->reply, &QNetworkReply::readyRead, this, [this, call] { on_reply_progress(call); });
     connect(it->reply, &QNetworkReply::metaDataChanged, this,
@@ -192,6 +193,23 @@
     schedule();
 }
 
+void outbound_client::start(detail::outbound_call& call)
+{
+    const QNetworkRequest request = make_request(call, options_.idle_limit);
+    switch (call.request->method) {
+    case outbound_method::get:
+        call.attach(manager_.get(request), nullptr);
+        return;
+    case outbound_method::remove:
+        call.attach(manager_.deleteResource(request), nullptr);
+        return;
+    case outbound_method::post:
+        break;
+    }
+    auto* body = new one_shot_body(call.request->body);
+    call.attach(manager_.post(request, body), body);
+}
+
 void outbound_client::abandon(outbound_call_id call)
 {
     const detail::outbound_call_ptr it = calls_->find(call);
--- a/packages/platform/tests/outbound/unit-outbound-client.cpp
+++ b/packages/platform/tests/outbound/unit-outbound-client.cpp
@@ -275,7 +275,7 @@
                           std::optional<std::uint16_t> port = {}, bool new_connection = false)
     {
         last_ = last_.next();
-        client_->post(last_, outbound_request(outbound_request_fields{
+        client_->send(last_, outbound_request(outbound_request_fields{
                                  .server = {.address = "127.0.0.1",
                                             .port = port.value_or(server_->serverPort())},
                                  .path = "/v1/run/quote",
