--- /dev/null
+++ b/packages/cli/include/papayafall/cli/load/load_command.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "papayafall/cli/command.hpp"
+#include "papayafall/cli/load/load_plan.hpp"
+
+#include <string>
+#include <vector>
+
+namespace papayafall {
+
+/// `papayafall load`: offers a seeded load to entry hosts and reports how it was served.
+///
+/// The tasks are those of `stand-in-target`, whose answers name their task. Needs a
+/// QCoreApplication.
+class load_command : public command {
+  public:
+    CLI::App* attach(CLI::App& app) override;
+
+    /// @throws configuration_error for an invalid option, platform_error when the first entry host
+    ///         does not answer
+    /// @returns `refused` when an answer was wrong
+    exit_code run() override;
+
+  private:
+    void add_target_options(CLI::App& app);
+    void add_load_options(CLI::App& app);
+    load_plan make_plan() const;
+
+    load_plan plan_;
+    std::vector<std::string> hosts_;
+    std::vector<std::string> services_{"quote"};
+    std::string team_;
+    double seconds_ = 30;
+    std::int64_t time_limit_ms_ = 1000;
+    std::string output_;
+    bool json_ = false;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/include/papayafall/cli/load/load_protocol.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "papayafall/cli/load/load_sample.hpp"
+#include "papayafall/platform/outbound/outbound_message.hpp"
+
+namespace papayafall {
+
+/// Encodes a sending of `planned` for the entry host `server`.
+/// @param key value of `Idempotency-Key`; empty for none
+/// @param deadline instant at which the caller gives up
+outbound_request encode_load_request(const planned_request& planned, load_sending sending,
+                                     const load_plan& plan, const endpoint& server,
+                                     const std::string& key, time_point deadline);
+
+/// Judges the end of a sending of `planned`.
+/// @param response time from the planned instant to the answer
+load_outcome judge_load_answer(const planned_request& planned, load_sending sending,
+                               const outbound_outcome& outcome, duration response);
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/include/papayafall/cli/load/load_runner.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "papayafall/cli/load/load_sample.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+
+#include <vector>
+
+namespace papayafall {
+
+/// Measures the shortest time of a request that needs no target (`GET /healthz`) at the first host.
+/// Needs a QCoreApplication. Blocks until the probes have ended.
+/// @throws platform_error when no probe is answered
+duration measure_round_trip(const load_plan& plan, const clock_source& clock);
+
+/// Sends `requests` at their planned instants, whatever became of the earlier ones, and waits until
+/// each has ended. Runs `plan.threads` threads with an event loop each; blocks the calling thread.
+/// Complexity: linear in the number of requests.
+std::vector<load_sample> run_load(const load_plan& plan,
+                                  const std::vector<planned_request>& requests,
+                                  const clock_source& clock);
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/src/load/load_command.cpp
@@ -0,0 +1,157 @@
+#include "papayafall/cli/load/load_command.hpp"
+
+#include "papayafall/cli/load/load_runner.hpp"
+#include "papayafall/cli/load/load_summary.hpp"
+#include "papayafall/core/errors/exception.hpp"
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+namespace papayafall {
+
+namespace {
+
+constexpr const char* examples = R"(Examples:
+  Half a minute of waves between 100 and 400 requests a second over two entry hosts:
+    papayafall load --host 127.0.0.1:8080 --host 127.0.0.1:8081 --rate 100 --profile wave
+
+  Bursts of tasks at a tenth of their run times, the result as JSON in a file:
+    papayafall load --host 127.0.0.1:8080 --profile burst --time-scale 0.1 --output load.json
+
+  Bookings only, every third one sent again to the next host:
+    papayafall load --host 127.0.0.1:8080 --host 127.0.0.1:8081 --service booking \
+        --resubmitted-share 0.33 --job-share 0
+
+The tasks are {"id": "...", "run_ms": n}; stand-in-target runs them and answers with the id.)";
+
+endpoint parse_host(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    const std::string port = colon == std::string::npos ? "" : text.substr(colon + 1);
+    std::uint16_t number = 0;
+    const auto [end, ec] = std::from_chars(port.data(), port.data() + port.size(), number);
+    if (ec != std::errc() || end != port.data() + port.size() || number == 0) {
+        throw configuration_error(error_id::invalid_settings, "/host",
+                                  "'" + text + "' is not an address and a port");
+    }
+    return {.address = text.substr(0, colon), .port = number};
+}
+
+/// Names a run by its start, so that the ids of two runs differ.
+std::string make_run_name(const clock_source& clock)
+{
+    return "r" + std::to_string(clock.read().wall.time_since_epoch().count());
+}
+
+void write_file(const std::string& path, const std::string& text)
+{
+    std::ofstream file(path);
+    file << text << '\n';
+    file.close();
+    if (!file) {
+        throw configuration_error(error_id::invalid_settings, "/output",
+                                  "cannot write '" + path + "'");
+    }
+}
+
+} // namespace
+
+CLI::App* load_command::attach(CLI::App& app)
+{
+    CLI::App* load = app.add_subcommand("load", "Offer a load to entry hosts and measure it");
+    load->footer(examples);
+    add_target_options(*load);
+    add_load_options(*load);
+    load->add_option("--output", output_, "file for the result as JSON");
+    load->add_flag("--json", json_, "print the result as JSON rather than as a table");
+    return load;
+}
+
+void load_command::add_target_options(CLI::App& app)
+{
+    app.add_option("--host", hosts_, "entry host as ADDRESS:PORT; may be repeated")->required();
+    app.add_flag_callback(
+        "--random-hosts", [this] { plan_.choice = host_choice::random; },
+        "choose the entry host at random rather than in turn");
+    app.add_option("--service", services_, "service to call; may be repeated");
+    app.add_option("--team", team_, "team that submits");
+}
+
+void load_command::add_load_options(CLI::App& app)
+{
+    const std::map<std::string, load_profile_kind> profiles{{"calm", load_profile_kind::calm},
+                                                            {"step", load_profile_kind::step},
+                                                            {"burst", load_profile_kind::burst},
+                                                            {"wave", load_profile_kind::wave}};
+    app.add_option("--profile", plan_.profile, "calm, step, burst or wave (default)")
+        ->transform(CLI::CheckedTransformer(profiles));
+    app.add_option("--rate", plan_.rate,
+                   "requests a second outside the crest, which has four times as many")
+        ->check(CLI::PositiveNumber)
+        ->capture_default_str();
+    app.add_option("--seconds", seconds_, "length of the run")
+        ->check(CLI::PositiveNumber)
+        ->capture_default_str();
+    app.add_option("--time-scale", plan_.time_scale, "multiplies run times and time limits")
+        ->check(CLI::PositiveNumber)
+        ->capture_default_str();
+    app.add_option("--time-limit-ms", time_limit_ms_,
+                   "time limit of a request, beside twice its run time")
+        ->check(CLI::PositiveNumber)
+        ->capture_default_str();
+    app.add_option("--largest-job", plan_.largest_job, "most tasks of a job")
+        ->check(CLI::Range(1, static_cast<int>(max_tasks_per_job)))
+        ->capture_default_str();
+    const auto add_share = [&app](const char* name, double& share, const char* text) {
+        app.add_option(name, share, text)->check(CLI::Range(0.0, 1.0))->capture_default_str();
+    };
+    add_share("--job-share", plan_.job_share, "share of jobs");
+    add_share("--keyed-share", plan_.keyed_share, "share of requests with a key");
+    add_share("--resubmitted-share", plan_.resubmitted_share,
+              "share sent again to the next host with the same key");
+    add_share("--cancelled-share", plan_.cancelled_share, "share cancelled, in waves");
+    app.add_option("--seed", plan_.seed, "seed of the schedule")->capture_default_str();
+    app.add_option("--threads", plan_.threads, "threads that send")
+        ->check(CLI::PositiveNumber)
+        ->capture_default_str();
+    app.add_option("--run", plan_.run, "begins the ids of all tasks; default: from the clock");
+}
+
+load_plan load_command::make_plan() const
+{
+    load_plan plan = plan_;
+    for (const std::string& it : hosts_) {
+        plan.hosts.push_back(parse_host(it));
+    }
+    plan.services.clear();
+    for (const std::string& it : services_) {
+        plan.services.emplace_back(it);
+    }
+    plan.team = team_name(team_);
+    plan.length = std::chrono::milliseconds(std::llround(seconds_ * 1000));
+    plan.time_limit = std::chrono::milliseconds(time_limit_ms_);
+    return plan;
+}
+
+exit_code load_command::run()
+{
+    const system_clock_source clock;
+    load_plan plan = make_plan();
+    if (plan.run.empty()) {
+        plan.run = make_run_name(clock);
+    }
+    const duration round_trip = measure_round_trip(plan, clock);
+    const load_summary summary = summarise(run_load(plan, plan_requests(plan), clock), round_trip);
+    const std::string document = encode_summary(summary);
+    if (!output_.empty()) {
+        write_file(output_, document);
+    }
+    std::cout << (json_ ? document + "\n" : format_summary(summary));
+    const auto& outcomes = summary.groups.front().outcomes;
+    return outcomes.contains(load_outcome::wrong_answer) ? exit_code::refused : exit_code::success;
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/src/load/load_protocol.cpp
@@ -0,0 +1,152 @@
+#include "papayafall/cli/load/load_protocol.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace papayafall {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t first_error_status = 400;
+
+const char* urgency_text(urgency_level urgency) noexcept
+{
+    switch (urgency) {
+    case urgency_level::urgent:
+        return "urgent";
+    case urgency_level::background:
+        return "background";
+    case urgency_level::normal:
+        break;
+    }
+    return "normal";
+}
+
+/// Body of a task as `stand-in-target` runs it.
+json task_body(const planned_task& task)
+{
+    return {{"id", task.id}, {"run_ms", task.run_time.count()}};
+}
+
+std::string encode_body(const planned_request& planned)
+{
+    if (!planned->job) {
+        return task_body(planned->tasks.front()).dump();
+    }
+    json tasks = json::array();
+    for (const planned_task& it : planned->tasks) {
+        tasks.push_back(
+            {{"body", task_body(it)}, {"declared_run_time_ms", it.declared_run_time.count()}});
+    }
+    return json{{"tasks", std::move(tasks)}}.dump();
+}
+
+std::string encode_path(const planned_request& planned)
+{
+    return "/v1/services/" + planned->service.text() + (planned->job ? "/jobs" : "/requests");
+}
+
+std::vector<outbound_header> encode_headers(const planned_request& planned, const load_plan& plan,
+                                            const std::string& key)
+{
+    std::vector<outbound_header> headers{
+        {.name = "Papayafall-Deadline-Ms", .value = std::to_string(planned->time_limit.count())},
+        {.name = "Papayafall-Urgency", .value = urgency_text(planned->urgency)}};
+    if (!plan.team.empty()) {
+        headers.push_back({.name = "Papayafall-Team", .value = plan.team.text()});
+    }
+    if (!key.empty()) {
+        headers.push_back({.name = "Idempotency-Key", .value = key});
+    }
+    return headers;
+}
+
+bool is_answer_to(const json& answer, const planned_task& task)
+{
+    return answer.is_object() && answer.value("id", "") == task.id;
+}
+
+bool is_whole_job_answer(const json& answer, const planned_request& planned)
+{
+    const json list = answer.is_object() ? answer.value("answers", json::array()) : json::array();
+    if (!list.is_array() || list.size() != planned->tasks.size()) {
+        return false;
+    }
+    for (std::size_t n = 0; n < list.size(); ++n) {
+        const json& it = list.at(n);
+        if (!it.is_object() || !is_answer_to(it.value("body", json()), planned->tasks.at(n))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool is_whole_answer(const outbound_response& response, const planned_request& planned)
+{
+    const json answer = json::parse(response->body.view(), nullptr, false);
+    return planned->job ? is_whole_job_answer(answer, planned)
+                        : is_answer_to(answer, planned->tasks.front());
+}
+
+load_outcome judge_problem(const planned_request& planned, const outbound_response& response,
+                           duration after)
+{
+    const json problem = json::parse(response->body.view(), nullptr, false);
+    const std::string run = problem.is_object() ? problem.value("run", "") : "";
+    if (problem.is_object() && problem.value("type", "") == "urn:papayafall:error:cancelled") {
+        return load_outcome::cancelled;
+    }
+    if (run == "ran") {
+        return load_outcome::failed;
+    }
+    if (run != "not_run") {
+        return load_outcome::unknown;
+    }
+    const bool early = after < early_refusal_share * planned->time_limit;
+    return early ? load_outcome::refused_early : load_outcome::refused_late;
+}
+
+load_outcome judge_response(const planned_request& planned, load_sending sending,
+                            const outbound_response& response, duration after)
+{
+    if (response->status >= first_error_status) {
+        return judge_problem(planned, response, after);
+    }
+    const bool whole = sending == load_sending::cancel || is_whole_answer(response, planned);
+    if (!whole) {
+        return load_outcome::wrong_answer;
+    }
+    return after <= planned->time_limit ? load_outcome::in_time : load_outcome::late;
+}
+
+} // namespace
+
+outbound_request encode_load_request(const planned_request& planned, load_sending sending,
+                                     const load_plan& plan, const endpoint& server,
+                                     const std::string& key, time_point deadline)
+{
+    if (sending == load_sending::cancel) {
+        return {outbound_request_fields{.server = server,
+                                        .method = outbound_method::remove,
+                                        .path = "/v1/requests/" + key,
+                                        .deadline = deadline}};
+    }
+    return {outbound_request_fields{.server = server,
+                                    .path = encode_path(planned),
+                                    .headers = encode_headers(planned, plan, key),
+                                    .body = bytes(encode_body(planned)),
+                                    .deadline = deadline}};
+}
+
+load_outcome judge_load_answer(const planned_request& planned, load_sending sending,
+                               const outbound_outcome& outcome, duration response)
+{
+    if (const auto* it = std::get_if<outbound_response>(&outcome)) {
+        return judge_response(planned, sending, *it, response);
+    }
+    const bool sent = std::get<outbound_failure>(outcome) != outbound_failure::not_sent;
+    return sent ? load_outcome::unknown : load_outcome::unreachable;
+}
+
+} // namespace papayafall
--- a/packages/cli/src/load/planned_request.cpp
+++ b/packages/cli/src/load/planned_request.cpp
@@ -126,16 +126,14 @@
             longest_ms = std::max(longest_ms, run_ms);
             const double declared_ms =
                 run_ms * log_uniform(1 / declaration_error, declaration_error);
-            fields.tasks.push_back({.id = plan_.run + "." + std::to_string(fields.number) + "." +
-                                          std::to_string(n),
-                                    .run_time = scaled(run_ms),
-                                    .declared_run_time = scaled(declared_ms)});
+            fields.tasks.push_back(
+                {.id = plan_.run + "." + std::to_string(fields.number) + "." + std::to_string(n),
+                 .run_time = scaled(run_ms),
+                 .declared_run_time = scaled(declared_ms)});
         }
-        fields.run =
-            longest_ms > longest_short_run_ms ? run_class::long_run : run_class::short_run;
+        fields.run = longest_ms > longest_short_run_ms ? run_class::long_run : run_class::short_run;
         fields.longest_run = scaled(longest_ms);
-        fields.time_limit =
-            scaled(static_cast<double>(plan_.time_limit.count()) + 2 * longest_ms);
+        fields.time_limit = scaled(static_cast<double>(plan_.time_limit.count()) + 2 * longest_ms);
     }
 
     double choose_run_time()
--- a/packages/platform/src/outbound/outbound_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -38,7 +38,10 @@
     }
 
     /// Whether no byte of the body can have reached the server.
-    bool unsent() const noexcept { return body != nullptr && request->body.size() > 0 && !body->was_read(); }
+    bool unsent() const noexcept
+    {
+        return body != nullptr && request->body.size() > 0 && !body->was_read();
+    }
 
     const outbound_call_id id;
     const outbound_request request;
