Add the randomised runs of several cores; retry only requests without a key

Cause: the retry policy allowed a second attempt of an idempotent single request after a lost connection, also where the request carried a key. A resubmission under a key promises that no task starts twice.

--- a/packages/core/include/papayafall/core/values/work.hpp
+++ b/packages/core/include/papayafall/core/values/work.hpp
@@ -48,7 +48,7 @@
     std::optional<duration> declared_run_time;
     time_point deadline = no_deadline;
     /// Whether the task may be tried again once a byte of it may have reached a target: only the
-    /// task of an idempotent single request may, never a task of a job.
+    /// task of an idempotent single request without a key may, never a task of a job.
     bool retryable = false;
 
     auto operator<=>(const work_item_fields&) const = default;
--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -62,7 +62,7 @@
         .body = part.body,
         .declared_run_time = part.declared_run_time,
         .deadline = content->deadline,
-        .retryable = idempotent && content->tasks.size() == 1,
+        .retryable = idempotent && content->tasks.size() == 1 && !content->key,
     };
 }
 
--- /dev/null
+++ b/packages/core/tests/random/history.cpp
@@ -0,0 +1,90 @@
+#include "random/history.hpp"
+
+namespace papayafall::random_runs {
+
+void history::add_submission(const std::string& name, submission_facts facts)
+{
+    for (const std::string& it : facts.bodies) {
+        owners_[it] = name;
+    }
+    submissions_[name] = std::move(facts);
+}
+
+void history::on_start(const std::string& body)
+{
+    ++starts_;
+    const std::uint64_t count = ++started_[body];
+    if (count > 1 && !submissions_.at(owners_.at(body)).may_repeat) {
+        throw violation("task " + body + " was started " + std::to_string(count) + " times");
+    }
+}
+
+void history::on_decision(const std::string& name, const answer& result)
+{
+    const auto* reason = std::get_if<failure>(&result);
+    if (reason == nullptr || reason->id == error_id::key_reused) {
+        return;
+    }
+    const std::uint64_t count = starts_of(name);
+    if (reason->run == run_state::not_run && count > 0) {
+        throw violation("submission " + name + " was answered with not_run (" +
+                        std::string(to_string(reason->id)) + ") after " + std::to_string(count) +
+                        " starts");
+    }
+    if (reason->run == run_state::ran && count == 0) {
+        throw violation("submission " + name + " was answered with ran and never started");
+    }
+}
+
+void history::on_answer(const std::string& name, const answer& result)
+{
+    if (const auto* reason = std::get_if<failure>(&result)) {
+        ++answers_[std::string(to_string(reason->run)) + ":" + std::string(to_string(reason->id))];
+        return;
+    }
+    ++answers_["complete"];
+    const std::vector<std::string>& bodies = submissions_.at(name).bodies;
+    const std::vector<task_answer>& given = std::get<completion>(result)->answers;
+    if (given.size() != bodies.size()) {
+        throw violation("submission " + name + " got a partial answer");
+    }
+    for (std::size_t n = 0; n < bodies.size(); ++n) {
+        if (given[n].body.view() != "done:" + bodies[n]) {
+            throw violation("submission " + name + " got the answer of another request: " +
+                            std::string(given[n].body.view()));
+        }
+    }
+}
+
+void history::on_revision(const std::string& process, std::uint64_t revision)
+{
+    std::uint64_t& last = revisions_[process];
+    if (revision <= last) {
+        throw violation("process " + process + " went from revision " + std::to_string(last) +
+                        " to " + std::to_string(revision));
+    }
+    last = revision;
+}
+
+std::uint64_t history::answers(const std::string& kind) const
+{
+    std::uint64_t total = 0;
+    for (const auto& [name, count] : answers_) {
+        if (name.starts_with(kind)) {
+            total += count;
+        }
+    }
+    return total;
+}
+
+std::uint64_t history::starts_of(const std::string& name) const
+{
+    std::uint64_t total = 0;
+    for (const std::string& it : submissions_.at(name).bodies) {
+        const auto found = started_.find(it);
+        total += found == started_.end() ? 0 : found->second;
+    }
+    return total;
+}
+
+} // namespace papayafall::random_runs
--- /dev/null
+++ b/packages/core/tests/random/host_process.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "random/schedule.hpp"
+
+#include "papayafall/core/engine/standard_engine.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace papayafall::random_runs {
+
+/// One entry host: at most one process at a time, with clocks of its own, that may be paused.
+struct host_process {
+    host_name name;
+    zone_name zone;
+    std::uint16_t number = 0; ///< also its port in both protocols
+
+    std::unique_ptr<engine> core; ///< empty while the host is down
+    incarnation_id incarnation;
+    time_point started_at{};
+    duration steady_offset{};               ///< its monotonic clock less virtual time
+    std::chrono::milliseconds wall_error{}; ///< its wall clock less true time
+    time_point paused_until{};
+    std::vector<event> inbox; ///< what arrived while paused
+    bool watching = false;
+    bool session_open = false;
+    bool stopping = false;
+
+    peer_id id() const { return peer_id{.host = name, .incarnation = incarnation}; }
+
+    std::string process() const { return name.text() + "#" + std::to_string(incarnation.value()); }
+
+    clock_reading read(time_point now) const
+    {
+        const auto wall = wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(
+            now.time_since_epoch() + std::chrono::hours(1)));
+        return clock_reading{.steady = now + steady_offset, .wall = wall + wall_error};
+    }
+};
+
+} // namespace papayafall::random_runs
--- /dev/null
+++ b/packages/core/tests/random/platform_model.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "random/schedule.hpp"
+
+#include "papayafall/core/values/configuration.hpp"
+#include "papayafall/core/values/host.hpp"
+#include "papayafall/core/values/work.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace papayafall::random_runs {
+
+/// How the platform answered a claim of a seat.
+enum class claim_outcome { refused, first, inherited };
+
+/// The platform's service: sessions, locks on seats, and the operators' configuration.
+class platform_model {
+  public:
+    static constexpr std::chrono::seconds session_ttl{5};
+
+    platform_model(schedule& time, dice& chance) : time_(time), chance_(chance) {}
+
+    /// Whether a host of `zone` reaches the service.
+    bool reachable(const zone_name& zone) const { return up && !cut.contains(zone); }
+
+    /// Opens a session, or renews it; false when it has ended.
+    bool renew(const peer_id& holder, bool open);
+
+    claim_outcome claim(const peer_id& holder, const seat_id& seat);
+
+    /// Ends the session of `holder` at once.
+    void end(const peer_id& holder) { sessions_.erase(holder); }
+
+    /// Confirms one change against `base`; false when another operator was first.
+    bool confirm(revision_id base);
+
+    const configuration& current() const noexcept { return current_; }
+
+    void set_configuration(const configuration& next) { current_ = next; }
+
+    bool up = true;
+    std::set<zone_name> cut;
+
+  private:
+    bool alive(const peer_id& holder) const;
+
+    schedule& time_;
+    dice& chance_;
+    std::map<peer_id, time_point> sessions_; ///< instant at which each ends
+    std::map<seat_id, peer_id> seats_;
+    configuration current_;
+};
+
+} // namespace papayafall::random_runs
--- /dev/null
+++ b/packages/core/tests/random/schedule.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "papayafall/core/values/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <utility>
+
+namespace papayafall::random_runs {
+
+/// Virtual time: actions run in the order of their instants, ties in the order of their posting.
+class schedule {
+  public:
+    time_point now() const noexcept { return now_; }
+
+    void after(duration delay, std::function<void()> step)
+    {
+        steps_.emplace(std::pair(now_ + delay, next_++), std::move(step));
+    }
+
+    /// Runs all steps up to `until`.
+    void run(time_point until)
+    {
+        while (!steps_.empty() && steps_.begin()->first.first <= until) {
+            auto node = steps_.extract(steps_.begin());
+            now_ = node.key().first;
+            node.mapped()();
+        }
+        now_ = until;
+    }
+
+  private:
+    time_point now_{};
+    std::uint64_t next_ = 0;
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> steps_;
+};
+
+/// Seeded choices, the same on every machine.
+class dice {
+  public:
+    explicit dice(std::uint64_t seed) : engine_(seed) {}
+
+    /// Uniform in [low, high].
+    std::uint64_t between(std::uint64_t low, std::uint64_t high)
+    {
+        return low + engine_() % (high - low + 1);
+    }
+
+    duration milliseconds(std::uint64_t low, std::uint64_t high)
+    {
+        return duration(static_cast<std::int64_t>(between(low * 1000, high * 1000)));
+    }
+
+    bool percent(std::uint64_t share) { return between(0, 99) < share; }
+
+  private:
+    std::mt19937_64 engine_;
+};
+
+} // namespace papayafall::random_runs
--- /dev/null
+++ b/packages/core/tests/random/target_model.cpp
@@ -0,0 +1,81 @@
+#include "random/target_model.hpp"
+
+namespace papayafall::random_runs {
+
+namespace {
+
+/// Time after which a target that is leaving gets no new work.
+constexpr std::chrono::seconds leaving_limit{5};
+
+} // namespace
+
+void target_fleet::add(const target_entry& entry)
+{
+    targets_[entry.name] = target_model{.entry = entry};
+}
+
+void target_fleet::arrive(const target_name& name, const std::string& body, bool fresh,
+                          const reply& answer)
+{
+    target_model& target = targets_.at(name);
+    if (target.leaving && fresh && time_.now() > target.left_at + leaving_limit) {
+        throw violation("leaving target " + name.text() + " got new work");
+    }
+    if (target.mode == target_mode::refuse || target.busy >= target.entry.slots) {
+        answer(target_refused{.leaving = false});
+        return;
+    }
+    seen_.on_start(body);
+    if (target.mode == target_mode::fail_all) {
+        answer(failure{
+            .id = error_id::task_failed, .run = run_state::ran, .detail = "the target failed"});
+        return;
+    }
+    ++target.busy;
+    const bool silent = target.mode == target_mode::silent;
+    time_.after(run_time(target), [this, name, body, silent, answer] {
+        target_model& done = targets_.at(name);
+        --done.busy;
+        if (!silent) {
+            answer(task_answer{.status = 200, .body = bytes("done:" + body)});
+        }
+    });
+}
+
+target_model& target_fleet::at(std::size_t index)
+{
+    auto it = targets_.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(index));
+    return it->second;
+}
+
+std::vector<target_entry> target_fleet::list(const zone_name& zone) const
+{
+    std::vector<target_entry> entries;
+    for (const auto& [name, it] : targets_) {
+        if (it.entry.zone != zone) {
+            continue;
+        }
+        target_entry entry = it.entry;
+        entry.leaving = it.leaving;
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+void target_fleet::heal()
+{
+    for (auto& [name, it] : targets_) {
+        it.mode = target_mode::normal;
+        it.leaving = false;
+    }
+}
+
+duration target_fleet::run_time(const target_model& target)
+{
+    const duration normal =
+        chance_.percent(5) ? chance_.milliseconds(1000, 6000) : chance_.milliseconds(5, 300);
+    return target.mode == target_mode::slow ? normal * 8 : normal;
+}
+
+} // namespace papayafall::random_runs
--- /dev/null
+++ b/packages/core/tests/random/target_model.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "random/history.hpp"
+#include "random/schedule.hpp"
+
+#include "papayafall/core/messages/action.hpp"
+
+#include <functional>
+#include <map>
+
+namespace papayafall::random_runs {
+
+/// How a modelled target treats its tasks.
+enum class target_mode { normal, fail_all, refuse, silent, slow };
+
+/// One target: a number of slots, a mode, and the instant from which it should get no new work.
+struct target_model {
+    target_entry entry;
+    target_mode mode = target_mode::normal;
+    std::uint32_t busy = 0;
+    bool leaving = false;
+    time_point left_at{};
+};
+
+/// All targets of a run; they run tasks in virtual time and may fail in every way.
+class target_fleet {
+  public:
+    using reply = std::function<void(exchange_outcome)>;
+
+    target_fleet(schedule& time, dice& chance, history& seen)
+        : time_(time), chance_(chance), seen_(seen)
+    {
+    }
+
+    void add(const target_entry& entry);
+
+    /// A task arrives at the target; `answer` is called at most once, never for a silent target.
+    /// @param fresh the sender had every means to know that the target is leaving
+    void arrive(const target_name& name, const std::string& body, bool fresh, const reply& answer);
+
+    target_model& at(std::size_t index);
+
+    std::size_t size() const noexcept { return targets_.size(); }
+
+    /// The targets of a zone as the platform lists them.
+    std::vector<target_entry> list(const zone_name& zone) const;
+
+    void heal();
+
+  private:
+    duration run_time(const target_model& target);
+
+    schedule& time_;
+    dice& chance_;
+    history& seen_;
+    std::map<target_name, target_model> targets_;
+};
+
+} // namespace papayafall::random_runs
