Add the traffic thread for peers

One thread with an event loop carries forwarded requests, delegations and their answers over a link for each peer, and heartbeats as datagrams. Each message ends in one event: its answer, or a failure that says whether it may have arrived.

The core gets the event delegation_cancelled, so that a peer can drop work whose delegation was abandoned. No controller handles it yet.

--- a/packages/core/include/papayafall/core/messages/event.hpp
+++ b/packages/core/include/papayafall/core/messages/event.hpp
@@ -60,6 +60,11 @@
     const work_item work;
 };
 
+/// A peer does not want the result of a task that it delegated any more.
+struct delegation_cancelled {
+    const peer_owner owner;
+};
+
 /// An attempt to run a task, at a target or through a peer, ended.
 struct exchange_finished {
     const exchange_id exchange;
@@ -131,11 +136,11 @@
 };
 
 /// Everything that the core reacts to.
-using event =
-    std::variant<request_received, call_closed, cancel_received, tickets_requested,
-                 forward_received, forward_answered, forward_failed, delegation_received,
-                 exchange_finished, heartbeat_received, host_list_received, configuration_received,
-                 session_confirmed, session_lost, seat_granted, seat_refused, shutdown_requested,
-                 submission_accepted, submission_closed, work_finished, target_changed>;
+using event = std::variant<request_received, call_closed, cancel_received, tickets_requested,
+                           forward_received, forward_answered, forward_failed, delegation_received,
+                           exchange_finished, heartbeat_received, host_list_received,
+                           configuration_received, session_confirmed, session_lost, seat_granted,
+                           seat_refused, shutdown_requested, submission_accepted, submission_closed,
+                           work_finished, target_changed, delegation_cancelled>;
 
 } // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/peers/incoming_link.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "frame_channel.hpp"
+
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/core/values/configuration.hpp"
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace papayafall::detail {
+
+class incoming_link;
+
+/// Who waits for an answer of this process.
+using answer_receiver = std::variant<peer_origin, peer_owner>;
+
+/// An answer that a peer waits for on the link on which it asked. Deleting it unlinks it.
+struct due_answer
+    : boost::intrusive::set_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>,
+      boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    due_answer(answer_receiver to, incoming_link& from) : receiver(std::move(to)), link(&from) {}
+
+    const answer_receiver receiver;
+    incoming_link* const link;
+};
+
+struct receiver_of_answer {
+    using type = answer_receiver;
+
+    const answer_receiver& operator()(const due_answer& it) const noexcept { return it.receiver; }
+};
+
+/// The answers that are due on all incoming links.
+using due_answers = boost::intrusive::set<due_answer, boost::intrusive::constant_time_size<false>,
+                                          boost::intrusive::key_of_value<receiver_of_answer>>;
+
+/// A link that a peer opened: its requests come in, the answers go back.
+class incoming_link : public boost::intrusive::list_base_hook<>, private channel_observer {
+  public:
+    /// @param socket  connected; the link deletes it
+    /// @param current configuration in force on this host; outlives the link
+    incoming_link(QTcpSocket* socket, const channel_context& context, due_answers& due,
+                  const configuration& current, event_sink& events);
+    ~incoming_link() override;
+
+    bool closed() const noexcept { return channel_.closed(); }
+
+    /// Writes an answer that is due on this link.
+    void answer(due_answer& due, const peer_message& message);
+
+    void flush();
+
+    void on_tick(time_point now) { channel_.on_tick(now); }
+
+    /// Gives the socket until `deadline` to pass on the answers that were written.
+    void drain(time_point deadline) { channel_.drain(deadline); }
+
+  private:
+    void on_ready(const hello& peer) override { peer_ = peer.sender; }
+
+    void on_message(const peer_message& message) override;
+
+    void on_written() override {}
+
+    void on_closed() override;
+
+    void accept(const forwarded_request& message);
+    void accept(const forwarded_cancel& message);
+    void accept(const delegated_work& message);
+    void accept(const delegation_cancel& message);
+    void accept(const configuration_request& message);
+
+    template <typename Message>
+    void accept(const Message& message);
+
+    void expect_answer(const answer_receiver& receiver);
+    void write(const peer_message& message);
+    void finish(due_answer& due);
+
+    channel_context context_;
+    due_answers* due_;
+    const configuration* current_;
+    event_sink* events_;
+    peer_id peer_;
+    boost::intrusive::list<due_answer, boost::intrusive::constant_time_size<false>> own_due_;
+    std::size_t waiting_ = 0;
+    frame_channel channel_;
+};
+
+} // namespace papayafall::detail
--- /dev/null
+++ b/packages/daemon/src/peers/peer_hub.cpp
@@ -0,0 +1,219 @@
+#include "peer_hub.hpp"
+
+#include "steady_clock.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+
+#include <QHostAddress>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+
+namespace papayafall::detail {
+
+namespace {
+
+/// Time that the answers still unwritten get when the process ends.
+constexpr duration drain_limit = std::chrono::seconds(1);
+
+constexpr std::chrono::milliseconds shortest_tick(5);
+constexpr std::chrono::milliseconds longest_tick(250);
+
+/// Often enough that no deadline of a link is missed by more than a quarter.
+std::chrono::milliseconds tick_interval(const peer_limits& limits)
+{
+    const duration shortest =
+        std::min({limits.heartbeat_interval, limits.silence_limit, limits.connect_limit}) / 4;
+    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(shortest),
+                      shortest_tick, longest_tick);
+}
+
+} // namespace
+
+peer_hub::peer_hub(const peer_options& options, event_sink& events, prometheus::Registry& registry)
+    : options_(options), events_(&events), metrics_(registry),
+      authenticator_(options.shared_key), context_{&options_, &authenticator_, &metrics_},
+      heartbeats_(context_, events)
+{
+    listen();
+    QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { on_tick(); });
+    timer_.start(tick_interval(options_.limits));
+}
+
+peer_hub::~peer_hub()
+{
+    flush();
+    const time_point deadline = steady_now() + drain_limit;
+    for (incoming_link& it : incoming_) {
+        it.drain(deadline);
+    }
+    outgoing_.clear_and_dispose(std::default_delete<outgoing_link>());
+    incoming_.clear_and_dispose(std::default_delete<incoming_link>());
+}
+
+void peer_hub::handle(const std::vector<action>& actions)
+{
+    for (const action& it : actions) {
+        std::visit([this](const auto& requested) { carry_out(requested); }, it);
+    }
+    flush();
+}
+
+endpoint peer_hub::link() const
+{
+    return {options_.link.address, server_.serverPort()};
+}
+
+void peer_hub::carry_out(const forward_request& it)
+{
+    send(it.peer, it.link, forwarded_request{it.correlation, it.content});
+}
+
+void peer_hub::carry_out(const forward_cancel& it)
+{
+    send(it.peer, it.link, forwarded_cancel{it.correlation, it.key});
+}
+
+void peer_hub::carry_out(const answer_forward& it)
+{
+    answer(it.origin, forwarded_answer{it.origin.correlation, it.result});
+}
+
+void peer_hub::carry_out(const delegate_work& it)
+{
+    send(it.peer, it.link, delegated_work{it.exchange, it.work});
+}
+
+void peer_hub::carry_out(const abandon_exchange& it)
+{
+    const auto found = outgoing_index_.by_key.find(it.exchange);
+    if (found != outgoing_index_.by_key.end()) {
+        found->link->abandon(*found);
+    }
+}
+
+void peer_hub::carry_out(const answer_delegation& it)
+{
+    answer(it.owner, delegation_answer{it.owner.exchange, it.result});
+}
+
+void peer_hub::carry_out(const send_heartbeat& it)
+{
+    heartbeats_.send(it.beat, it.peers);
+}
+
+void peer_hub::carry_out(const fetch_configuration& it)
+{
+    send(it.peer, it.link, configuration_request{});
+}
+
+void peer_hub::carry_out(const configuration_applied& it)
+{
+    current_ = it.content;
+}
+
+void peer_hub::send(const peer_id& peer, const endpoint& address, const peer_message& message)
+{
+    outgoing_link* link = find_or_open(address);
+    if (link == nullptr) {
+        report_failure(message, delivery_failure::not_sent, *events_);
+        return;
+    }
+    link->send(std::make_unique<outgoing_message>(peer, message, steady_now(),
+                                                  options_.limits.reply_grace));
+}
+
+void peer_hub::answer(const answer_receiver& receiver, const peer_message& message)
+{
+    const auto found = due_.find(receiver);
+    if (found != due_.end()) {
+        found->link->answer(*found, message);
+    }
+}
+
+outgoing_link* peer_hub::find_or_open(const endpoint& address)
+{
+    const auto found = outgoing_.find(address);
+    if (found != outgoing_.end() && !found->closed()) {
+        return &*found;
+    }
+    if (found != outgoing_.end()) {
+        outgoing_.erase_and_dispose(found, std::default_delete<outgoing_link>());
+    }
+    if (outgoing_.size() >= options_.limits.outgoing_links) {
+        return nullptr;
+    }
+    auto link = std::make_unique<outgoing_link>(address, context_, outgoing_index_, *events_);
+    outgoing_.insert(*link);
+    return link.release();
+}
+
+void peer_hub::listen()
+{
+    const QHostAddress host(QString::fromStdString(options_.link.address));
+    if (host.isNull() || !server_.listen(host, options_.link.port)) {
+        throw configuration_error(error_id::invalid_settings, "/peers/link",
+                                  "cannot accept peers at " + options_.link.address + " port " +
+                                      std::to_string(options_.link.port));
+    }
+    QObject::connect(&server_, &QTcpServer::newConnection, &server_, [this] { accept_links(); });
+}
+
+void peer_hub::accept_links()
+{
+    while (QTcpSocket* socket = server_.nextPendingConnection()) {
+        socket->setParent(nullptr);
+        if (incoming_.size() >= options_.limits.incoming_links) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        auto link = std::make_unique<incoming_link>(socket, context_, due_, current_, *events_);
+        incoming_.push_back(*link.release());
+    }
+}
+
+void peer_hub::flush()
+{
+    for (outgoing_link& it : outgoing_) {
+        it.flush();
+    }
+    for (incoming_link& it : incoming_) {
+        it.flush();
+    }
+}
+
+void peer_hub::on_tick()
+{
+    const time_point now = steady_now();
+    for (outgoing_link& it : outgoing_) {
+        it.on_tick(now);
+    }
+    for (incoming_link& it : incoming_) {
+        it.on_tick(now);
+    }
+    expire_messages(now);
+    remove_closed();
+}
+
+void peer_hub::expire_messages(time_point now)
+{
+    outgoing_by_deadline& waiting = outgoing_index_.by_deadline;
+    while (!waiting.empty() && waiting.begin()->answer_by <= now) {
+        outgoing_message& message = *waiting.begin();
+        message.link->expire(message);
+    }
+}
+
+void peer_hub::remove_closed()
+{
+    for (auto it = outgoing_.begin(); it != outgoing_.end();) {
+        it = it->closed() ? outgoing_.erase_and_dispose(it, std::default_delete<outgoing_link>())
+                          : std::next(it);
+    }
+    incoming_.remove_and_dispose_if([](const incoming_link& it) { return it.closed(); },
+                                    std::default_delete<incoming_link>());
+}
+
+} // namespace papayafall::detail
--- /dev/null
+++ b/packages/daemon/src/peers/peer_traffic.cpp
@@ -0,0 +1,62 @@
+#include "papayafall/daemon/peers/peer_traffic.hpp"
+
+#include "peer_hub.hpp"
+
+#include <exception>
+#include <utility>
+
+namespace papayafall {
+
+peer_traffic::peer_traffic(const peer_options& options, event_sink& events,
+                           prometheus::Registry& metrics)
+    : actions_([this] {
+          QMetaObject::invokeMethod(
+              &context_, [this] { handle_posted(); }, Qt::QueuedConnection);
+      })
+{
+    thread_.setObjectName(QStringLiteral("peers"));
+    context_.moveToThread(&thread_);
+    thread_.start();
+
+    std::exception_ptr failure;
+    const auto open = [&] {
+        try {
+            hub_ = std::make_unique<detail::peer_hub>(options, events, metrics);
+            link_ = hub_->link();
+            datagrams_ = hub_->datagrams();
+        } catch (...) {
+            failure = std::current_exception();
+        }
+    };
+    QMetaObject::invokeMethod(&context_, open, Qt::BlockingQueuedConnection);
+    if (failure) {
+        thread_.quit();
+        thread_.wait();
+        std::rethrow_exception(failure);
+    }
+}
+
+peer_traffic::~peer_traffic()
+{
+    const auto close = [this] {
+        handle_posted();
+        hub_.reset();
+    };
+    QMetaObject::invokeMethod(&context_, close, Qt::BlockingQueuedConnection);
+    thread_.quit();
+    thread_.wait();
+}
+
+void peer_traffic::post(action requested)
+{
+    actions_.post(std::move(requested));
+}
+
+void peer_traffic::handle_posted()
+{
+    if (hub_) {
+        hub_->handle(actions_.drain());
+    }
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/tests/support/raw_peer.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "papayafall/daemon/peers/qt_message_authenticator.hpp"
+#include "papayafall/wire/peer/frame.hpp"
+#include "papayafall/wire/peer/message_limits.hpp"
+#include "support/peer_process.hpp"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace papayafall {
+
+/// A peer that a test drives frame by frame over a blocking socket, so that it can misbehave.
+class raw_peer {
+  public:
+    static constexpr int wait_limit = 10'000; ///< milliseconds
+
+    raw_peer() { server_.listen(QHostAddress::LocalHost); }
+
+    endpoint link() const { return {"127.0.0.1", server_.serverPort()}; }
+
+    /// Takes the next connection of a peer under test.
+    bool accept()
+    {
+        if (!server_.waitForNewConnection(wait_limit)) {
+            return false;
+        }
+        socket_.reset(server_.nextPendingConnection());
+        socket_->setParent(nullptr);
+        start(link_role::responder);
+        return true;
+    }
+
+    /// Connects to a peer under test.
+    bool connect(const endpoint& address)
+    {
+        socket_ = std::make_unique<QTcpSocket>();
+        socket_->connectToHost(QHostAddress::LocalHost, address.port);
+        start(link_role::initiator);
+        return socket_->waitForConnected(wait_limit);
+    }
+
+    /// Exchanges the first frames as the end that accepted; returns what the peer sent.
+    std::optional<peer_message> shake_hands(const peer_id& self)
+    {
+        std::optional<peer_message> first;
+        if (role_ == link_role::responder) {
+            first = read();
+            if (!first) {
+                return first;
+            }
+            receiving_.responder_nonce = nonce_;
+            receiving_.initiator_nonce = std::get<hello>(*first).nonce;
+            sending_.initiator_nonce = receiving_.initiator_nonce;
+            write(hello{self, zone_name("north"), nonce_});
+            sending_.responder_nonce = nonce_;
+            return first;
+        }
+        write(hello{self, zone_name("north"), nonce_});
+        sending_.initiator_nonce = nonce_;
+        receiving_.initiator_nonce = nonce_;
+        first = read();
+        if (first) {
+            sending_.responder_nonce = std::get<hello>(*first).nonce;
+            receiving_.responder_nonce = sending_.responder_nonce;
+        }
+        return first;
+    }
+
+    std::string encode(const peer_message& message)
+    {
+        const std::string frame = encode_frame(message, sending_, authenticator_, time_point{});
+        ++sending_.sequence;
+        return frame;
+    }
+
+    void write(const peer_message& message) { write_bytes(encode(message)); }
+
+    void write_bytes(const std::string& data)
+    {
+        socket_->write(data.data(), static_cast<qint64>(data.size()));
+        socket_->waitForBytesWritten(wait_limit);
+    }
+
+    /// The next message, or nothing when the link was closed.
+    std::optional<peer_message> read()
+    {
+        while (true) {
+            const std::optional<std::size_t> size = frame_size(received_, max_frame_size);
+            if (size && received_.size() >= *size) {
+                return take(*size);
+            }
+            if (!socket_->waitForReadyRead(wait_limit)) {
+                return std::nullopt;
+            }
+            received_.append(socket_->readAll().toStdString());
+        }
+    }
+
+    /// The next message that is not a heartbeat.
+    std::optional<peer_message> read_content()
+    {
+        std::optional<peer_message> message = read();
+        while (message && std::holds_alternative<link_heartbeat>(*message)) {
+            message.emplace(*read());
+        }
+        return message;
+    }
+
+    /// Whether the peer under test closes the link.
+    bool closed_by_peer()
+    {
+        while (socket_->state() == QAbstractSocket::ConnectedState) {
+            if (!socket_->waitForReadyRead(wait_limit)) {
+                break;
+            }
+            socket_->readAll();
+        }
+        return socket_->state() != QAbstractSocket::ConnectedState;
+    }
+
+    void abort() { socket_->abort(); }
+
+  private:
+    void start(link_role role)
+    {
+        role_ = role;
+        sending_ = {.sender = role};
+        receiving_ = {.sender = role == link_role::initiator ? link_role::responder
+                                                             : link_role::initiator};
+        received_.clear();
+    }
+
+    peer_message take(std::size_t size)
+    {
+        peer_message message = decode_frame(std::string_view(received_).substr(0, size), receiving_,
+                                            authenticator_, time_point{});
+        ++receiving_.sequence;
+        received_.erase(0, size);
+        return message;
+    }
+
+    qt_message_authenticator authenticator_{test_key};
+    link_nonce nonce_{7, 7, 7};
+    link_role role_ = link_role::initiator;
+    frame_context sending_;
+    frame_context receiving_;
+    std::string received_;
+    QTcpServer server_;
+    std::unique_ptr<QTcpSocket> socket_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/tests/support/recording_sink.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "papayafall/core/engine/sinks.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+#include <vector>
+
+namespace papayafall {
+
+/// Keeps the events that it gets and lets a test wait for them.
+class recording_sink : public event_sink {
+  public:
+    void post(event incoming) override
+    {
+        const std::lock_guard lock(mutex_);
+        events_.push_back(std::move(incoming));
+        arrived_.notify_all();
+    }
+
+    /// Waits until there are `count` events of type `Event` and returns all of that type.
+    /// Returns fewer when they do not come within 20 s.
+    template <typename Event>
+    std::vector<Event> wait_for(std::size_t count = 1)
+    {
+        std::unique_lock lock(mutex_);
+        arrived_.wait_for(lock, std::chrono::seconds(20), [&] {
+            return events_.size() >= count && select<Event>().size() >= count;
+        });
+        return select<Event>();
+    }
+
+    std::size_t size()
+    {
+        const std::lock_guard lock(mutex_);
+        return events_.size();
+    }
+
+  private:
+    template <typename Event>
+    std::vector<Event> select() const
+    {
+        std::vector<Event> selected;
+        for (const event& it : events_) {
+            if (const auto* found = std::get_if<Event>(&it)) {
+                selected.push_back(*found);
+            }
+        }
+        return selected;
+    }
+
+    std::mutex mutex_;
+    std::condition_variable arrived_;
+    std::vector<event> events_;
+};
+
+} // namespace papayafall
--- a/packages/wire/src/peer/fields.hpp
+++ b/packages/wire/src/peer/fields.hpp
@@ -280,9 +280,9 @@
 template <typename Archive>
 void serialize(Archive& archive, work_item_fields& it)
 {
-    auto& [service, team, urgency, idempotent, body, declared_run_time, deadline] = it;
+    auto& [service, team, urgency, idempotent, body, declared_run_time, deadline, retryable] = it;
     archive(service, team, bounded_enum<urgency_level>{urgency, urgency_level::background},
-            idempotent, body, declared_run_time, deadline);
+            idempotent, body, declared_run_time, deadline, retryable);
 }
 
 template <typename Archive>
--- a/packages/wire/tests/support/peer_samples.hpp
+++ b/packages/wire/tests/support/peer_samples.hpp
@@ -45,7 +45,8 @@
                       .idempotent = true,
                       .body = bytes("body"),
                       .declared_run_time = duration(1'000),
-                      .deadline = no_deadline});
+                      .deadline = no_deadline,
+                      .retryable = true});
 }
 
 inline configuration sample_configuration()
