Add the platform agent: session, seats, configuration watch and host list

One session for each host is renewed at a third of its time to live; the lease counts from before the renewing call was sent. A claim reads the key back: only a lock count of one means that no predecessor may have started work. The watch waits for the change record of the next revision.

--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/platform/configuration_watcher.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/daemon/platform/platform_agent.hpp"
+#include "papayafall/platform/configuration/configuration_reader.hpp"
+#include "papayafall/platform/retry/retry_delay.hpp"
+
+#include <QTimer>
+
+namespace papayafall {
+
+/// Follows the configuration at the platform while it is enabled: reads the one in force, then
+/// watches for the change record of the next revision. After a failure it reads again.
+class configuration_watcher {
+  public:
+    configuration_watcher(const platform_agent_options& options, key_value_store& store,
+                          const clock_source& clock, event_sink& events);
+
+    void enable(bool enabled);
+
+  private:
+    void read();
+    void watch(modify_index after);
+    void take_reading(const platform_result<configuration_reading>& result);
+    void take_watched(const platform_result<read_result>& result, modify_index after,
+                      time_point sent_at);
+    void take_record(const stored_value& found);
+    void publish(const configuration& content);
+    void retry();
+
+    const platform_agent_options& options_;
+    key_value_store& store_;
+    const clock_source& clock_;
+    event_sink& events_;
+    bool enabled_ = false;
+    std::uint64_t round_ = 0; ///< replies of earlier rounds are ignored
+    store_call call_;
+    configuration current_;
+    retry_delay delay_;
+    QTimer timer_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/platform/platform_agent.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "papayafall/core/engine/mailbox.hpp"
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/platform/connector/platform_connector.hpp"
+
+#include <QObject>
+#include <QThread>
+
+#include <memory>
+
+namespace papayafall {
+
+/// What a platform agent needs to know.
+struct platform_agent_options {
+    host_name host;
+    zone_name zone;
+    incarnation_id incarnation;
+    /// Time for which the platform keeps a session that is not renewed.
+    std::chrono::milliseconds session_ttl{10'000};
+    /// Time between two readings of the host list.
+    std::chrono::milliseconds host_list_period{2'000};
+    /// Longest wait of one watch call.
+    std::chrono::milliseconds watch_wait{3'000};
+    /// First and longest delay before a failed call is repeated.
+    std::chrono::milliseconds first_retry{100};
+    std::chrono::milliseconds max_retry{5'000};
+
+    auto operator<=>(const platform_agent_options&) const = default;
+};
+
+/// The traffic thread towards the platform: it carries out `claim_seat`, `release_seat` and
+/// `watch_configuration`, keeps one session for all seats of the host, and posts what the
+/// platform says as events. Other actions are ignored.
+class platform_agent : public action_sink {
+  public:
+    /// @param connector,events,clock outlive this object
+    platform_agent(platform_agent_options options, const platform_connector& connector,
+                   event_sink& events, const clock_source& clock);
+    ~platform_agent() override;
+
+    /// Connects to the platform and opens the session.
+    void start();
+
+    /// Ends the session, so that another host can take the seats at once, and the thread. Waits
+    /// for the platform for one second at most.
+    void stop();
+
+    void post(action requested) override;
+
+  private:
+    class worker;
+
+    void wake();
+
+    platform_agent_options options_;
+    const platform_connector& connector_;
+    event_sink& events_;
+    const clock_source& clock_;
+    QThread thread_;
+    std::unique_ptr<QObject> context_;
+    std::unique_ptr<worker> worker_; ///< lives on `thread_`
+    mailbox<action> mailbox_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/platform/seat_claimer.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/daemon/platform/platform_agent.hpp"
+#include "papayafall/platform/retry/retry_delay.hpp"
+
+#include <QTimer>
+
+#include <map>
+#include <optional>
+
+namespace papayafall {
+
+/// Claims and releases seats under the session of the host.
+///
+/// A claim takes the lock on the seat's key and reads the key back: the number of locks that it
+/// ever had tells whether a predecessor may have started work under its keys. A claim whose
+/// result stays unknown is released, so that the seat is not locked without a holder.
+class seat_claimer {
+  public:
+    seat_claimer(const platform_agent_options& options, key_value_store& store,
+                 const clock_source& clock, event_sink& events);
+
+    /// Uses `session` from now on; whatever was in progress under another one is dropped.
+    void use_session(const session_id& session);
+
+    void claim(const seat_id& seat);
+
+    void release(const seat_id& seat);
+
+  private:
+    enum class task_kind : std::uint8_t { claim, release };
+
+    struct seat_task {
+        task_kind kind = task_kind::claim;
+        std::uint64_t number = 0; ///< tells the replies of a replaced task apart
+        std::uint32_t attempts = 0;
+        bool in_flight = false;
+        bool may_hold = false; ///< an attempt may have taken the lock
+        time_point next_try{};
+        std::optional<task_kind> follow_up; ///< asked for while this one was in flight
+    };
+
+    void add(const seat_id& seat, task_kind kind);
+    void finish(const seat_id& seat);
+    void start_tasks();
+    void start(const seat_id& seat, seat_task& task);
+    void schedule();
+    seat_task* find(const seat_id& seat, std::uint64_t number);
+    void take_claimed(const seat_id& seat, const platform_result<lock_outcome>& result);
+    void take_claim_failure(const seat_id& seat, const platform_failure& failure);
+    void take_released(const seat_id& seat, const platform_result<lock_outcome>& result);
+    void read_back(const seat_id& seat);
+    void take_read_back(const seat_id& seat, const platform_result<read_result>& result);
+    void retry(seat_task& task);
+    lock_request make_request(const seat_id& seat) const;
+
+    const platform_agent_options& options_;
+    key_value_store& store_;
+    const clock_source& clock_;
+    event_sink& events_;
+    session_id session_;
+    std::map<seat_id, seat_task> tasks_;
+    std::uint64_t last_number_ = 0;
+    retry_delay delay_;
+    QTimer timer_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/platform/session_keeper.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/daemon/platform/platform_agent.hpp"
+#include "papayafall/platform/retry/retry_delay.hpp"
+
+#include <QTimer>
+
+#include <functional>
+
+namespace papayafall {
+
+/// Keeps one session open at the platform and renews it at a third of its time to live.
+///
+/// Each confirmation posts `session_confirmed` with a lease that is counted from before the
+/// confirming call was sent, less a margin for the difference between two monotonic clocks.
+class session_keeper {
+  public:
+    /// @param on_lost called when the platform says that the session has ended
+    session_keeper(const platform_agent_options& options, key_value_store& store,
+                   const clock_source& clock, event_sink& events, std::function<void()> on_lost);
+
+    /// Opens a session; tries until one is open.
+    void open();
+
+    /// Ends the session for good. @param done called once the platform has answered or failed
+    void close(std::function<void()> done);
+
+    /// The open session; empty where there is none.
+    const session_id& session() const noexcept { return session_; }
+
+  private:
+    void renew();
+    void take_opened(const platform_result<session_id>& result, time_point sent_at);
+    void take_renewed(const platform_result<session_status>& result, time_point sent_at);
+    void confirm(time_point sent_at);
+    void retry();
+    void lose();
+    void act();
+
+    const platform_agent_options& options_;
+    key_value_store& store_;
+    const clock_source& clock_;
+    event_sink& events_;
+    std::function<void()> on_lost_;
+    session_id session_;
+    bool loss_reported_ = false;
+    bool closed_ = false;
+    retry_delay delay_;
+    QTimer timer_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/platform/configuration_watcher.cpp
@@ -0,0 +1,122 @@
+#include "papayafall/daemon/platform/configuration_watcher.hpp"
+
+#include "agent_timing.hpp"
+
+#include "papayafall/platform/store/keys.hpp"
+
+#include <algorithm>
+
+namespace papayafall {
+
+namespace {
+
+/// Shortest time between two watch calls that find nothing new.
+constexpr std::chrono::milliseconds min_watch_period{500};
+
+} // namespace
+
+configuration_watcher::configuration_watcher(const platform_agent_options& options,
+                                             key_value_store& store, const clock_source& clock,
+                                             event_sink& events)
+    : options_(options), store_(store), clock_(clock), events_(events),
+      delay_(detail::make_retry_delay(options, 3))
+{
+    timer_.setSingleShot(true);
+    QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { read(); });
+}
+
+void configuration_watcher::enable(bool enabled)
+{
+    if (enabled == enabled_) {
+        return;
+    }
+    enabled_ = enabled;
+    ++round_;
+    timer_.stop();
+    store_.cancel(call_);
+    if (enabled_) {
+        read();
+    }
+}
+
+void configuration_watcher::read()
+{
+    read_configuration(
+        store_, [this, round = round_](const platform_result<configuration_reading>& result) {
+            if (round == round_) {
+                take_reading(result);
+            }
+        });
+}
+
+void configuration_watcher::watch(modify_index after)
+{
+    const time_point sent_at = clock_.read().steady;
+    auto reply = [this, round = round_, after, sent_at](const platform_result<read_result>& it) {
+        if (round == round_) {
+            take_watched(it, after, sent_at);
+        }
+    };
+    call_ = store_.watch(keys::change(current_->revision.next()), after,
+                         sent_at + options_.watch_wait, reply);
+}
+
+void configuration_watcher::take_reading(const platform_result<configuration_reading>& result)
+{
+    if (std::holds_alternative<platform_failure>(result)) {
+        retry();
+        return;
+    }
+    publish(std::get<configuration_reading>(result).content);
+    watch(modify_index());
+}
+
+void configuration_watcher::take_watched(const platform_result<read_result>& result,
+                                         modify_index after, time_point sent_at)
+{
+    if (std::holds_alternative<platform_failure>(result)) {
+        retry();
+        return;
+    }
+    delay_.reset();
+    const auto& read = std::get<read_result>(result);
+    if (read.found) {
+        take_record(*read.found);
+        return;
+    }
+    const time_point now = clock_.read().steady;
+    const bool early = after != modify_index() && now - sent_at < min_watch_period;
+    if (early) {
+        detail::start_timer(timer_, sent_at + min_watch_period, clock_);
+        return;
+    }
+    const bool restarted = read.index < after;
+    watch(restarted ? modify_index() : read.index);
+}
+
+void configuration_watcher::take_record(const stored_value& found)
+{
+    try {
+        publish(apply_change(current_, decode_change_record(found.data)));
+    } catch (const configuration_error&) {
+        retry();
+        return;
+    }
+    watch(modify_index());
+}
+
+void configuration_watcher::publish(const configuration& content)
+{
+    if (content->revision <= current_->revision) {
+        return;
+    }
+    current_ = content;
+    events_.post(configuration_received{content});
+}
+
+void configuration_watcher::retry()
+{
+    detail::start_timer(timer_, delay_.next(clock_.read().steady), clock_);
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/platform/include/papayafall/platform/connector/platform_connector.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "papayafall/core/values/configuration.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+#include "papayafall/platform/hosts/host_list.hpp"
+#include "papayafall/platform/http/http_caller.hpp"
+#include "papayafall/platform/store/key_value_store.hpp"
+
+#include <memory>
+
+namespace papayafall {
+
+/// The platform's services as one thread uses them.
+struct platform_connection {
+    std::unique_ptr<key_value_store> store;
+    std::unique_ptr<host_list> hosts; ///< may use `store`
+};
+
+/// Makes the platform's services on the thread that will use them.
+class platform_connector {
+  public:
+    platform_connector() = default;
+    platform_connector(const platform_connector&) = delete;
+    platform_connector& operator=(const platform_connector&) = delete;
+    virtual ~platform_connector() = default;
+
+    /// @param clock outlives the connection
+    virtual platform_connection connect(const clock_source& clock) const = 0;
+};
+
+/// The platform's services over HTTP.
+class http_platform_connector : public platform_connector {
+  public:
+    explicit http_platform_connector(http_platform_options options);
+
+    platform_connection connect(const clock_source& clock) const override;
+
+  private:
+    http_platform_options options_;
+};
+
+/// The embedded platform of a single host: what settings say, and nothing outlives the process.
+class memory_platform_connector : public platform_connector {
+  public:
+    /// @param initial configuration in force from the start; gets revision 1 where it has none
+    memory_platform_connector(host_list_snapshot hosts, const configuration& initial);
+
+    platform_connection connect(const clock_source& clock) const override;
+
+  private:
+    host_list_snapshot hosts_;
+    configuration initial_;
+};
+
+} // namespace papayafall
