--- a/packages/daemon/include/papayafall/daemon/targets/target_traffic.hpp
+++ b/packages/daemon/include/papayafall/daemon/targets/target_traffic.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "papayafall/core/engine/sinks.hpp"
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
 #include <prometheus/registry.h>
 
@@ -13,7 +13,7 @@
 
 struct target_traffic_options {
     std::size_t threads = 1;
-    http_client_options http;
+    outbound_options http;
 
     auto operator<=>(const target_traffic_options&) const = default;
 };
@@ -31,10 +31,11 @@
 /// connection at once, whatever the number in progress at that target.
 class target_traffic : public action_sink {
   public:
+    /// @param clock the clock of the actions' deadlines; must outlive this object
     /// @param events learns how exchanges end; must outlive this object
     /// @param metrics gets the counters of exchanges and connections; must outlive this object
-    target_traffic(const target_traffic_options& options, event_sink& events,
-                   prometheus::Registry& metrics);
+    target_traffic(const target_traffic_options& options, const clock_source& clock,
+                   event_sink& events, prometheus::Registry& metrics);
 
     /// Stops the threads; exchanges in progress end without an event.
     ~target_traffic() override;
