--- a/packages/cli/src/load/load_protocol.cpp
+++ b/packages/cli/src/load/load_protocol.cpp
@@ -62,9 +62,18 @@
     return headers;
 }
 
+/// The text member `name` of `object`; empty for anything else.
+std::string text_member(const json& object, const char* name)
+{
+    if (!object.is_object() || !object.contains(name) || !object.at(name).is_string()) {
+        return {};
+    }
+    return object.at(name).get<std::string>();
+}
+
 bool is_answer_to(const json& answer, const planned_task& task)
 {
-    return answer.is_object() && answer.value("id", "") == task.id;
+    return text_member(answer, "id") == task.id;
 }
 
 bool is_whole_job_answer(const json& answer, const planned_request& planned)
@@ -93,8 +102,8 @@
                            duration after)
 {
     const json problem = json::parse(response->body.view(), nullptr, false);
-    const std::string run = problem.is_object() ? problem.value("run", "") : "";
-    if (problem.is_object() && problem.value("type", "") == "urn:papayafall:error:cancelled") {
+    const std::string run = text_member(problem, "run");
+    if (text_member(problem, "type") == "urn:papayafall:error:cancelled") {
         return load_outcome::cancelled;
     }
     if (run == "ran") {
--- a/packages/platform/tests/support/scripted_server.hpp
+++ b/packages/platform/tests/support/scripted_server.hpp
@@ -58,12 +58,12 @@
         if (pending.size() < head_size + body_size) {
             return;
         }
-        const scripted_request request{.socket = socket,
-                                       .connection = connection,
-                                       .head = socket->read(head_size),
-                                       .body = socket->read(body_size)};
-        requests.push_back(request);
-        on_request(request);
+        const scripted_request seen{.socket = socket,
+                                    .connection = connection,
+                                    .head = socket->read(head_size),
+                                    .body = socket->read(body_size)};
+        requests.push_back(seen);
+        on_request(seen);
     }
 
     static qsizetype content_length(const QByteArray& head)
