--- a/packages/cli/src/load/load_runner.cpp
+++ b/packages/cli/src/load/load_runner.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <iterator>
 #include <memory>
+#include <utility>
 
 namespace papayafall {
 
@@ -114,8 +115,8 @@
 /// Sends probes in turn and keeps the shortest time.
 class round_trip_probe : public outbound_observer {
   public:
-    round_trip_probe(const endpoint& host, const clock_source& clock)
-        : host_(host), clock_(&clock), client_({}, clock, *this)
+    round_trip_probe(endpoint host, const clock_source& clock)
+        : host_(std::move(host)), clock_(&clock), client_({}, clock, *this)
     {
     }
 
