--- a/packages/daemon/include/papayafall/daemon/http/caller_listener.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_listener.hpp
@@ -19,7 +19,7 @@
   public:
     /// @param tls where given, callers have to speak TLS
     /// @param observer must outlive this object
-    caller_listener(const front_end_options& options, std::optional<QSslConfiguration> tls,
+    caller_listener(front_end_options options, std::optional<QSslConfiguration> tls,
                     caller_socket_observer& observer, front_end_metrics& metrics, QObject* parent);
 
     /// Cuts the connections that are still open.
--- a/packages/daemon/include/papayafall/daemon/http/caller_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_server.hpp
@@ -42,7 +42,7 @@
 /// Created on any thread and moved to its own; every public member runs there from then on.
 class caller_server final : public QAbstractHttpServer, public caller_socket_observer {
   public:
-    caller_server(const front_end_options& options, const front_end_links& links,
+    caller_server(front_end_options options, const front_end_links& links,
                   call_numbering numbering);
     ~caller_server() override;
 
--- a/packages/daemon/src/http/caller_listener.cpp
+++ b/packages/daemon/src/http/caller_listener.cpp
@@ -9,11 +9,10 @@
 
 namespace papayafall {
 
-caller_listener::caller_listener(const front_end_options& options,
-                                 std::optional<QSslConfiguration> tls,
+caller_listener::caller_listener(front_end_options options, std::optional<QSslConfiguration> tls,
                                  caller_socket_observer& observer, front_end_metrics& metrics,
                                  QObject* parent)
-    : QTcpServer(parent), options_(options), tls_(std::move(tls)), observer_(observer),
+    : QTcpServer(parent), options_(std::move(options)), tls_(std::move(tls)), observer_(observer),
       metrics_(metrics)
 {
 }
--- a/packages/daemon/src/http/caller_server.cpp
+++ b/packages/daemon/src/http/caller_server.cpp
@@ -130,9 +130,9 @@
     caller_socket& caller_;
 };
 
-caller_server::caller_server(const front_end_options& options, const front_end_links& links,
+caller_server::caller_server(front_end_options options, const front_end_links& links,
                              call_numbering numbering)
-    : options_(options), links_(links), numbering_(numbering)
+    : options_(std::move(options)), links_(links), numbering_(numbering)
 {
 }
 
--- a/packages/daemon/src/http/caller_socket.cpp
+++ b/packages/daemon/src/http/caller_socket.cpp
@@ -96,13 +96,13 @@
 
 qint64 caller_socket::bytesAvailable() const
 {
-    return QIODevice::bytesAvailable() + static_cast<qint64>(released_ - read_);
+    return QTcpSocket::bytesAvailable() + static_cast<qint64>(released_ - read_);
 }
 
 bool caller_socket::canReadLine() const
 {
     const auto unread = std::string_view(buffer_).substr(read_, released_ - read_);
-    return QIODevice::canReadLine() || unread.find('\n') != std::string_view::npos;
+    return QTcpSocket::canReadLine() || unread.find('\n') != std::string_view::npos;
 }
 
 void caller_socket::disconnectFromHost()
--- a/packages/daemon/src/http/request_framer.cpp
+++ b/packages/daemon/src/http/request_framer.cpp
@@ -151,7 +151,7 @@
 frame request_framer::inspect(std::string_view buffered)
 {
     if (frame_size_ == 0) {
-        const frame header = inspect_header(buffered);
+        frame header = inspect_header(buffered);
         if (!std::holds_alternative<frame_complete>(header)) {
             return header;
         }
--- a/packages/daemon/tests/http/raw_client.hpp
+++ b/packages/daemon/tests/http/raw_client.hpp
@@ -57,7 +57,7 @@
             if (header != std::string::npos) {
                 const std::size_t size = header + 4 + body_size(header);
                 if (buffer_.size() >= size) {
-                    const std::string response = buffer_.substr(0, size);
+                    std::string response = buffer_.substr(0, size);
                     buffer_.erase(0, size);
                     return response;
                 }
--- a/packages/daemon/tests/http/scripted_core.hpp
+++ b/packages/daemon/tests/http/scripted_core.hpp
@@ -38,7 +38,7 @@
         std::unique_lock lock(mutex_);
         std::optional<Event> found;
         changed_.wait_for(lock, std::chrono::seconds(20), [&] {
-            const Event* it = find<Event>(n);
+            const auto* it = find<Event>(n);
             if (it != nullptr) {
                 found.emplace(*it);
             }
