--- a/packages/daemon/include/papayafall/daemon/http/caller_socket.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_socket.hpp
@@ -80,7 +80,8 @@
     /// closed socket.
     void respond(const http_response& response);
 
-    /// Closes the connection after the request in progress, or at once where there is none.
+    /// Closes the connection after the request of which a part has arrived or that is in progress,
+    /// or at once where there is none.
     void close_when_idle();
 
     /// Ends what took too long: a request that is not complete, an answer that is not taken, or
--- a/packages/daemon/src/http/caller_server.cpp
+++ b/packages/daemon/src/http/caller_server.cpp
@@ -166,11 +166,16 @@
 
 void caller_server::set_tls(const QSslConfiguration& tls)
 {
-    listener_->set_tls(tls);
+    if (listener_ != nullptr) {
+        listener_->set_tls(tls);
+    }
 }
 
 void caller_server::stop_accepting(std::function<void()> drained)
 {
+    if (listener_ == nullptr) {
+        return;
+    }
     drained_ = std::move(drained);
     listener_->stop();
     check_drained();
--- a/packages/daemon/src/http/caller_socket.cpp
+++ b/packages/daemon/src/http/caller_socket.cpp
@@ -71,7 +71,8 @@
 void caller_socket::close_when_idle()
 {
     keep_alive_ = false;
-    if (phase_ == phase::idle || phase_ == phase::receiving) {
+    advance();
+    if (phase_ == phase::idle) {
         transport_->disconnectFromHost();
     }
 }
--- a/packages/daemon/src/http/front_end_thread.cpp
+++ b/packages/daemon/src/http/front_end_thread.cpp
@@ -39,8 +39,12 @@
 
 void front_end_thread::stop_accepting()
 {
-    QMetaObject::invokeMethod(server_.get(),
-                              [this] { server_->stop_accepting([this] { thread_.quit(); }); });
+    // The last connection is still on the call stack when the server is drained.
+    const auto drained = [this] {
+        QMetaObject::invokeMethod(
+            server_.get(), [this] { end(); }, Qt::QueuedConnection);
+    };
+    QMetaObject::invokeMethod(server_.get(), [this, drained] { server_->stop_accepting(drained); });
 }
 
 void front_end_thread::join(time_point deadline)
