--- /dev/null
+++ b/packages/daemon/bench/bench-front_end.cpp
@@ -0,0 +1,133 @@
+#include "papayafall/daemon/http/front_end.hpp"
+
+#include "http/raw_client.hpp"
+
+#include <CLI/CLI.hpp>
+#include <prometheus/registry.h>
+
+#include <QCoreApplication>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <ctime>
+#include <iostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace papayafall;
+
+/// Answers every request at once with a short body.
+class instant_core final : public event_sink {
+  public:
+    void answer_through(action_sink& sink) noexcept { sink_ = &sink; }
+
+    void post(event incoming) override
+    {
+        const auto* it = std::get_if<request_received>(&incoming);
+        if (it == nullptr) {
+            return;
+        }
+        completion_fields result;
+        for (const task& each : it->content->tasks) {
+            result.answers.push_back({.status = 200, .body = each.body});
+        }
+        sink_->post(answer_call{it->call, completion(std::move(result))});
+    }
+
+  private:
+    action_sink* sink_ = nullptr;
+};
+
+double processor_seconds(clockid_t clock)
+{
+    timespec spent{};
+    ::clock_gettime(clock, &spent);
+    return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) * 1e-9;
+}
+
+/// What one client did.
+struct client_result {
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+    double processor_seconds = 0;
+};
+
+client_result run_client(std::uint16_t port, const std::string& message,
+                         std::chrono::steady_clock::time_point end)
+{
+    client_result result;
+    test::raw_client client(port);
+    while (std::chrono::steady_clock::now() < end) {
+        client.send(message);
+        if (!client.read_response().starts_with("HTTP/1.1 200 ")) {
+            ++result.failed;
+            break;
+        }
+        ++result.answered;
+    }
+    result.processor_seconds = processor_seconds(CLOCK_THREAD_CPUTIME_ID);
+    return result;
+}
+
+struct bench_options {
+    std::uint32_t threads = 1;
+    std::size_t clients = 16;
+    std::size_t body_size = 100;
+    std::uint32_t seconds = 5;
+};
+
+void run(const bench_options& options)
+{
+    instant_core core;
+    prometheus::Registry registry;
+    front_end front({.threads = options.threads}, core, registry);
+    core.answer_through(front);
+    front.start();
+
+    const std::string body(options.body_size, 'x');
+    const std::string message = "POST /v1/services/quote/requests HTTP/1.1\r\nHost: x\r\n"
+                                "Papayafall-Team: desk\r\nPapayafall-Deadline-Ms: 1000\r\n"
+                                "Content-Length: " +
+                                std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::vector<client_result> results(options.clients);
+    const double before = processor_seconds(CLOCK_PROCESS_CPUTIME_ID);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(options.seconds);
+    std::vector<std::thread> clients;
+    for (client_result& it : results) {
+        clients.emplace_back([&] { it = run_client(front.port(), message, end); });
+    }
+    for (std::thread& it : clients) {
+        it.join();
+    }
+    double served = processor_seconds(CLOCK_PROCESS_CPUTIME_ID) - before;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+    for (const client_result& it : results) {
+        served -= it.processor_seconds;
+        answered += it.answered;
+        failed += it.failed;
+    }
+    std::cout << answered / options.seconds << " requests/s, " << failed << " failed, "
+              << served * 1e6 / static_cast<double>(answered) << " us of processor time each\n";
+}
+
+} // namespace
+
+/// Measures the callers' front end against a core that answers at once.
+int main(int argc, char** argv)
+{
+    const QCoreApplication application(argc, argv);
+    CLI::App app{"Load on the callers' front end over the loopback, one connection a client."};
+    bench_options options;
+    app.add_option("--threads", options.threads, "front-end threads");
+    app.add_option("--clients", options.clients, "clients, one thread each");
+    app.add_option("--body-size", options.body_size, "bytes of a request's body");
+    app.add_option("--seconds", options.seconds, "time to run");
+    CLI11_PARSE(app, argc, argv);
+    run(options);
+    return 0;
+}
--- a/packages/daemon/src/http/tls_loader.cpp
+++ b/packages/daemon/src/http/tls_loader.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+constexpr qsizetype public_key_tail = 64; ///< bytes that tell two public keys apart
 constexpr std::array key_algorithms{QSsl::Rsa, QSsl::Ec};
 
 [[noreturn]] void refuse(const char* path, const std::string& reason)
@@ -41,6 +42,15 @@
     refuse("/http/tls/private_key", name + ": not an RSA or EC private key in PEM");
 }
 
+/// Whether `key` belongs to `certificate`. The encodings of RSA and EC private keys hold the public
+/// numbers with which the encoding of the public key ends.
+bool belong_together(const QSslKey& key, const QSslCertificate& certificate)
+{
+    const QByteArray public_key = certificate.publicKey().toDer();
+    return public_key.size() >= public_key_tail &&
+           key.toDer().contains(public_key.last(public_key_tail));
+}
+
 } // namespace
 
 QSslConfiguration load_tls(const tls_files& files)
@@ -50,9 +60,13 @@
     if (chain.isEmpty()) {
         refuse("/http/tls/certificate_chain", files.certificate_chain + ": no certificate in PEM");
     }
+    const QSslKey key = load_key(files.private_key);
+    if (!belong_together(key, chain.front())) {
+        refuse("/http/tls/private_key", files.private_key + ": belongs to another certificate");
+    }
     QSslConfiguration tls = QSslConfiguration::defaultConfiguration();
     tls.setLocalCertificateChain(chain);
-    tls.setPrivateKey(load_key(files.private_key));
+    tls.setPrivateKey(key);
     tls.setProtocol(QSsl::TlsV1_2OrLater);
     tls.setPeerVerifyMode(QSslSocket::VerifyNone);
     return tls;
--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -262,7 +262,7 @@
         fixture it;
         it.core.echo_to(it.front);
         raw_client client(it.front.port());
-        const std::string body(1024 * 1024, 'b');
+        const std::string body(1'048'576, 'b');
         const std::string whole = post_of(quote_path, body, "Expect: 100-continue\r\n");
         CPPUNIT_ASSERT(client.send(whole.substr(0, whole.size() - body.size())));
         CPPUNIT_ASSERT(has_status(client.read_response(), 100));
--- /dev/null
+++ b/packages/daemon/tests/http/unit-front_end_tls.cpp
@@ -0,0 +1,167 @@
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/http/front_end.hpp"
+
+#include "http/raw_client.hpp"
+#include "http/scripted_core.hpp"
+#include "http/test_certificates.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QCoreApplication>
+#include <QFile>
+#include <QSslCertificate>
+#include <QSslSocket>
+#include <QTemporaryDir>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+using namespace papayafall;
+using papayafall::test::raw_client;
+using papayafall::test::scripted_core;
+
+namespace {
+
+constexpr int time_limit_ms = 20'000;
+
+/// Files of a certificate and its key that a test may replace.
+class certificate_files {
+  public:
+    certificate_files() { use(test::first_certificate, test::first_key); }
+
+    void use(const char* certificate, const char* key) const
+    {
+        write("chain.pem", certificate);
+        write("key.pem", key);
+    }
+
+    tls_files names() const
+    {
+        return {.certificate_chain = directory_.filePath("chain.pem").toStdString(),
+                .private_key = directory_.filePath("key.pem").toStdString()};
+    }
+
+  private:
+    void write(const char* name, const char* content) const
+    {
+        QFile file(directory_.filePath(name));
+        CPPUNIT_ASSERT(file.open(QIODevice::WriteOnly));
+        file.write(content);
+    }
+
+    QTemporaryDir directory_;
+};
+
+/// Sends one request over a TLS connection of its own.
+/// @return the certificate that the server showed; `response` gets what it answered
+QSslCertificate call(std::uint16_t port, const QByteArray& request, QByteArray& response)
+{
+    QSslSocket client;
+    client.setPeerVerifyMode(QSslSocket::VerifyNone);
+    client.connectToHostEncrypted("127.0.0.1", port);
+    CPPUNIT_ASSERT(client.waitForEncrypted(time_limit_ms));
+    client.write(request);
+    while (!response.contains("\r\n\r\n") && client.waitForReadyRead(time_limit_ms)) {
+        response += client.readAll();
+    }
+    return client.peerCertificate();
+}
+
+class front_end_tls_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(front_end_tls_test);
+    CPPUNIT_TEST(reloaded_certificate_is_shown_to_new_connections);
+    CPPUNIT_TEST(large_answers_arrive_whole);
+    CPPUNIT_TEST(plain_text_gets_nowhere);
+    CPPUNIT_TEST(unusable_files_are_typed_errors);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override
+    {
+        static int argc = 0;
+        application_ = std::make_unique<QCoreApplication>(argc, nullptr);
+    }
+
+    void tearDown() override { application_.reset(); }
+
+    void reloaded_certificate_is_shown_to_new_connections()
+    {
+        const certificate_files files;
+        front_end front({.tls = files.names()}, core_, registry_);
+        front.start();
+        const auto shown = [&front] {
+            QByteArray response;
+            const QSslCertificate found =
+                call(front.port(), "GET /healthz HTTP/1.1\r\n\r\n", response);
+            CPPUNIT_ASSERT(response.startsWith("HTTP/1.1 503 "));
+            return found;
+        };
+        CPPUNIT_ASSERT(shown() == QSslCertificate(test::first_certificate));
+
+        files.use(test::second_certificate, "no key");
+        CPPUNIT_ASSERT_THROW(front.reload_tls(), configuration_error);
+        CPPUNIT_ASSERT(shown() == QSslCertificate(test::first_certificate));
+
+        files.use(test::second_certificate, test::second_key);
+        front.reload_tls();
+        CPPUNIT_ASSERT(shown() == QSslCertificate(test::second_certificate));
+        front.stop(std::chrono::seconds(20));
+    }
+
+    void large_answers_arrive_whole()
+    {
+        const certificate_files files;
+        front_end front({.tls = files.names()}, core_, registry_);
+        core_.echo_to(front);
+        front.start();
+        QSslSocket client;
+        client.setPeerVerifyMode(QSslSocket::VerifyNone);
+        client.connectToHostEncrypted("127.0.0.1", front.port());
+        CPPUNIT_ASSERT(client.waitForEncrypted(time_limit_ms));
+        const QByteArray body(1'000'000, 'b');
+        for (int n = 0; n < 3; ++n) {
+            client.write("POST /v1/services/quote/requests HTTP/1.1\r\nContent-Length: 1000000"
+                         "\r\n\r\n" +
+                         body);
+            QByteArray response;
+            while (!response.endsWith(body) && client.waitForReadyRead(time_limit_ms)) {
+                response += client.readAll();
+            }
+            CPPUNIT_ASSERT(response.startsWith("HTTP/1.1 200 ") && response.endsWith(body));
+        }
+    }
+
+    void plain_text_gets_nowhere()
+    {
+        const certificate_files files;
+        front_end front({.tls = files.names()}, core_, registry_);
+        front.start();
+        raw_client client(front.port());
+        CPPUNIT_ASSERT(client.send("GET /healthz HTTP/1.1\r\n\r\n"));
+        CPPUNIT_ASSERT(client.wait_until_closed());
+    }
+
+    void unusable_files_are_typed_errors()
+    {
+        const certificate_files files;
+        files.use("no certificate", test::first_key);
+        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, core_, registry_),
+                             configuration_error);
+        files.use(test::first_certificate, test::second_key);
+        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, core_, registry_),
+                             configuration_error);
+        CPPUNIT_ASSERT_THROW(
+            front_end({.tls = tls_files{"/nonexistent", "/nonexistent"}}, core_, registry_),
+            configuration_error);
+    }
+
+  private:
+    std::unique_ptr<QCoreApplication> application_;
+    scripted_core core_;
+    prometheus::Registry registry_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(front_end_tls_test);
+
+} // namespace
--- a/packages/wire/tests/unit-http_codec.cpp
+++ b/packages/wire/tests/unit-http_codec.cpp
@@ -276,7 +276,7 @@
     void status_page_is_json()
     {
         status_fields fields{.queued_tasks = 3, .ready = true};
-        fields.targets.push_back(target_state_fields{.entry = {.name = target_name("t\xff")}});
+        fields.targets.emplace_back(target_state_fields{.entry = {.name = target_name("t\xff")}});
         const json shown = json::parse(encode_status(status_snapshot(fields), now));
         CPPUNIT_ASSERT(shown.at("ready") == true);
         CPPUNIT_ASSERT(shown.at("queued_tasks") == 3);
