--- a/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
+++ b/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
@@ -4,6 +4,8 @@
 #include "papayafall/core/engine/mailbox.hpp"
 #include "papayafall/core/engine/sinks.hpp"
 
+#include "papayafall/platform/clock/clock_source.hpp"
+
 #include <QThread>
 #include <QTimer>
 
@@ -22,7 +24,8 @@
     /// Called on the control thread when the engine throws; the process must stop.
     using fault_handler = std::function<void(const std::exception&)>;
 
-    control_thread(std::unique_ptr<engine> core, fault_handler on_fault);
+    /// @param clock read once for each batch; outlives this object
+    control_thread(std::unique_ptr<engine> core, const clock_source& clock, fault_handler on_fault);
     ~control_thread() override;
 
     /// Starts the thread. Events posted before are handled first.
@@ -43,6 +46,7 @@
 
     std::unique_ptr<engine> core_;
     action_sink* actions_ = nullptr;
+    const clock_source& clock_;
     fault_handler on_fault_;
     QThread thread_;
     QObject context_; ///< lives on `thread_`
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/process/dispatcher_process.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "papayafall/daemon/control/action_router.hpp"
+#include "papayafall/daemon/control/control_thread.hpp"
+#include "papayafall/daemon/http/front_end.hpp"
+#include "papayafall/daemon/peers/peer_traffic.hpp"
+#include "papayafall/daemon/platform/platform_agent.hpp"
+#include "papayafall/daemon/targets/target_traffic.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+#include "papayafall/platform/connector/platform_connector.hpp"
+#include "papayafall/wire/settings/settings.hpp"
+
+#include <prometheus/registry.h>
+
+#include <functional>
+#include <memory>
+
+namespace papayafall {
+
+/// Why a dispatcher process ends.
+enum class process_end { stopped, fault };
+
+/// All threads of one `papayafalld`: the control thread that owns the blackboard, and the traffic
+/// threads for callers, targets, peers and the platform.
+class dispatcher_process {
+  public:
+    /// Opens every socket; nothing is served before `start`.
+    /// @param on_end called once, from any thread, when the process has to end
+    /// @throws configuration_error when an address or a file of the settings cannot be used
+    dispatcher_process(const settings& wanted, std::function<void(process_end)> on_end);
+    ~dispatcher_process();
+
+    void start();
+
+    /// Asks for a graceful shutdown; `on_end` is called once all work has ended.
+    void request_shutdown();
+
+    /// Reads the TLS files again.
+    /// @throws configuration_error when they cannot be used; the old ones stay in force
+    void reload();
+
+    /// Writes the answers that are left and ends all threads.
+    void stop();
+
+  private:
+    dispatcher_process(const settings& wanted, std::function<void(process_end)> on_end,
+                       const self_state& self);
+
+    void fail(const std::exception& ex);
+
+    const settings settings_;
+    std::function<void(process_end)> on_end_;
+    system_clock_source clock_;
+    prometheus::Registry registry_;
+    std::unique_ptr<platform_connector> connector_;
+    control_thread control_;
+    front_end callers_;
+    target_traffic targets_;
+    peer_traffic peers_;
+    platform_agent platform_;
+    action_router router_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/process/signal_watcher.cpp
@@ -0,0 +1,62 @@
+#include "papayafall/daemon/process/signal_watcher.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <unistd.h>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+constexpr std::array watched{SIGTERM, SIGINT, SIGHUP};
+
+/// Both ends of the pipe that carries the signals' numbers; written by the signal handler.
+std::array<int, 2> signal_pipe{-1,
+                               -1}; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
+
+void forward_signal(int number)
+{
+    const auto buf = static_cast<unsigned char>(number);
+    // A full pipe already holds a signal of every kind that matters.
+    [[maybe_unused]] const ssize_t n = write(signal_pipe[1], &buf, 1);
+}
+
+} // namespace
+
+signal_watcher::signal_watcher(signal_actions actions) : actions_(std::move(actions))
+{
+    ensure(pipe2(signal_pipe.data(), O_CLOEXEC | O_NONBLOCK) == 0, "the signal pipe opens");
+    notifier_ = std::make_unique<QSocketNotifier>(signal_pipe[0], QSocketNotifier::Read);
+    QObject::connect(notifier_.get(), &QSocketNotifier::activated, [this] { read_signals(); });
+    for (const int it : watched) {
+        std::signal(it, forward_signal);
+    }
+}
+
+signal_watcher::~signal_watcher()
+{
+    for (const int it : watched) {
+        std::signal(it, SIG_DFL);
+    }
+    notifier_.reset();
+    close(signal_pipe[0]);
+    close(signal_pipe[1]);
+}
+
+void signal_watcher::read_signals()
+{
+    unsigned char buf = 0;
+    while (read(signal_pipe[0], &buf, 1) == 1) {
+        if (buf == SIGHUP) {
+            actions_.reload();
+        } else {
+            actions_.stop();
+        }
+    }
+}
+
+} // namespace papayafall
