--- a/packages/cli/include/papayafall/cli/load/load_command.hpp
+++ b/packages/cli/include/papayafall/cli/load/load_command.hpp
@@ -30,6 +30,7 @@
     std::vector<std::string> hosts_;
     std::vector<std::string> services_{"quote"};
     std::string team_;
+    std::string profile_ = "wave";
     double seconds_ = 30;
     std::int64_t time_limit_ms_ = 1000;
     std::string output_;
--- a/packages/cli/src/load/load_command.cpp
+++ b/packages/cli/src/load/load_command.cpp
@@ -40,6 +40,17 @@
     return {.address = text.substr(0, colon), .port = number};
 }
 
+/// @param name one that the option's check lets through
+load_profile_kind parse_profile(const std::string& name)
+{
+    static const std::map<std::string, load_profile_kind> profiles{
+        {"calm", load_profile_kind::calm},
+        {"step", load_profile_kind::step},
+        {"burst", load_profile_kind::burst},
+        {"wave", load_profile_kind::wave}};
+    return profiles.at(name);
+}
+
 /// Names a run by its start, so that the ids of two runs differ.
 std::string make_run_name(const clock_source& clock)
 {
@@ -82,12 +93,9 @@
 
 void load_command::add_load_options(CLI::App& app)
 {
-    const std::map<std::string, load_profile_kind> profiles{{"calm", load_profile_kind::calm},
-                                                            {"step", load_profile_kind::step},
-                                                            {"burst", load_profile_kind::burst},
-                                                            {"wave", load_profile_kind::wave}};
-    app.add_option("--profile", plan_.profile, "calm, step, burst or wave (default)")
-        ->transform(CLI::CheckedTransformer(profiles));
+    app.add_option("--profile", profile_, "how the offered rate swings")
+        ->check(CLI::IsMember({"calm", "step", "burst", "wave"}))
+        ->capture_default_str();
     app.add_option("--rate", plan_.rate,
                    "requests a second outside the crest, which has four times as many")
         ->check(CLI::PositiveNumber)
@@ -131,6 +139,7 @@
         plan.services.emplace_back(it);
     }
     plan.team = team_name(team_);
+    plan.profile = parse_profile(profile_);
     plan.length = std::chrono::milliseconds(std::llround(seconds_ * 1000));
     plan.time_limit = std::chrono::milliseconds(time_limit_ms_);
     return plan;
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/cli/commands/check_settings_command.hpp"
 #include "papayafall/cli/commands/submit_command.hpp"
+#include "papayafall/cli/load/load_command.hpp"
 #include "papayafall/core/errors/exception.hpp"
 
 #include <QCoreApplication>
@@ -39,6 +40,7 @@
     std::vector<std::unique_ptr<command>> commands;
     commands.push_back(std::make_unique<submit_command>());
     commands.push_back(std::make_unique<check_settings_command>());
+    commands.push_back(std::make_unique<load_command>());
     return commands;
 }
 
