Keep the connections that answered while another request got no answer

A deadline that passes on busy work no longer renews connections that have shown since that they work. A connection pool entry keeps when it last answered.

--- a/packages/daemon/src/targets/target_metrics.cpp
+++ b/packages/daemon/src/targets/target_metrics.cpp
@@ -23,7 +23,7 @@
                   .Add({})),
       renewed_(prometheus::BuildCounter()
                    .Name("papayafall_target_connections_renewed_total")
-                   .Help("Times that all connections to a target were given up as silent")
+                   .Help("Exchanges whose connection was given up as silent")
                    .Register(registry)
                    .Add({}))
 {
--- a/packages/platform/include/papayafall/platform/outbound/connection_pool.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/connection_pool.hpp
@@ -31,8 +31,10 @@
     /// Gives back a connection whose request ended with a whole response.
     void release(const endpoint& server, connection_id connection, time_point now);
 
-    /// Stops the use of every present connection to `server`, idle or busy.
-    void renew(const endpoint& server);
+    /// Stops the use of the idle connections to `server` that carried no answer since `since`, when
+    /// a request was sent that got none. A later answer shows that its connection still works.
+    /// Complexity: linear in the idle connections to the server.
+    void renew(const endpoint& server, time_point since);
 
     /// Number of connections handed out for the first time.
     std::uint64_t opened() const noexcept { return last_.value(); }
@@ -40,17 +42,12 @@
   private:
     struct idle_connection {
         connection_id id;
-        time_point usable_until;
-    };
-
-    struct server_connections {
-        std::vector<idle_connection> idle; ///< the one used last is at the back
-        connection_id renewed_after;       ///< numbers up to this one are not used any more
+        time_point answered_at;
     };
 
     duration idle_limit_;
     connection_id last_;
-    std::map<endpoint, server_connections> servers_;
+    std::map<endpoint, std::vector<idle_connection>> idle_; ///< the one used last is at the back
 };
 
 } // namespace papayafall
--- a/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
@@ -46,7 +46,7 @@
 
 struct outbound_counters {
     std::uint64_t connections_opened = 0;
-    std::uint64_t connections_renewed = 0; ///< times that a server's connections were given up
+    std::uint64_t connections_renewed = 0; ///< requests whose connection was given up as silent
 
     auto operator<=>(const outbound_counters&) const = default;
 };
@@ -60,9 +60,9 @@
 /// progress.
 ///
 /// It belongs to the thread that constructs it and needs an event loop there. Each connection
-/// carries one request at a time. After a deadline has passed without an answer no present
-/// connection to that server is used again. Redirects, proxies, cookies, HTTP/2, pipelining and
-/// compression are off.
+/// carries one request at a time. After a deadline has passed without an answer, the
+/// connections to that server that answered nothing since the request was sent are not used again.
+/// Redirects, proxies, cookies, HTTP/2, pipelining and compression are off.
 class outbound_client : public QObject {
   public:
     /// @param clock the clock of the requests' deadlines
--- a/packages/platform/src/outbound/connection_pool.cpp
+++ b/packages/platform/src/outbound/connection_pool.cpp
@@ -4,8 +4,8 @@
 
 connection_id connection_pool::acquire(const endpoint& server, time_point now)
 {
-    std::vector<idle_connection>& idle = servers_[server].idle;
-    if (!idle.empty() && idle.back().usable_until > now) {
+    std::vector<idle_connection>& idle = idle_[server];
+    if (!idle.empty() && idle.back().answered_at + idle_limit_ > now) {
         const connection_id id = idle.back().id;
         idle.pop_back();
         return id;
@@ -22,19 +22,13 @@
 
 void connection_pool::release(const endpoint& server, connection_id connection, time_point now)
 {
-    server_connections& connections = servers_[server];
-    if (connection <= connections.renewed_after) {
-        return;
-    }
-    connections.idle.push_back(
-        idle_connection{.id = connection, .usable_until = now + idle_limit_});
+    idle_[server].push_back(idle_connection{.id = connection, .answered_at = now});
 }
 
-void connection_pool::renew(const endpoint& server)
+void connection_pool::renew(const endpoint& server, time_point since)
 {
-    server_connections& connections = servers_[server];
-    connections.idle.clear();
-    connections.renewed_after = last_;
+    std::erase_if(idle_[server],
+                  [since](const idle_connection& it) { return it.answered_at < since; });
 }
 
 } // namespace papayafall
--- a/packages/platform/src/outbound/outbound_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -20,9 +20,9 @@
       public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_number>>,
       public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_due>> {
   public:
-    outbound_call(outbound_call_id it, outbound_request content, connection_id used,
+    outbound_call(outbound_call_id it, outbound_request content, connection_id used, time_point now,
                   time_point first_due)
-        : id(it), request(std::move(content)), connection(used), due(first_due)
+        : id(it), request(std::move(content)), connection(used), sent_at(now), due(first_due)
     {
     }
 
@@ -46,6 +46,7 @@
     const outbound_call_id id;
     const outbound_request request;
     const connection_id connection;
+    const time_point sent_at;
     time_point due;
     one_shot_body* body = nullptr;
     QNetworkReply* reply = nullptr;
--- a/packages/platform/src/outbound/outbound_client.cpp
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -183,7 +183,7 @@
     const connection_id connection =
         request->new_connection ? pool_.acquire_new() : pool_.acquire(request->server, started_at);
     const detail::outbound_call_ptr it(new detail::outbound_call(
-        call, request, connection, std::min(connected_by, request->deadline)));
+        call, request, connection, started_at, std::min(connected_by, request->deadline)));
     start(*it);
     connect(it->reply, &QNetworkReply::finished, this, [this, call] { on_reply_finished(call); });
     connect(it->reply, &QNetworkReply::readyRead, this, [this, call] { on_reply_progress(call); });
@@ -260,7 +260,7 @@
             calls_->postpone(*it, it->request->deadline);
             continue;
         }
-        pool_.renew(it->request->server);
+        pool_.renew(it->request->server, it->sent_at);
         ++renewed_;
         give_up(*it, outbound_failure::no_answer);
     }
--- a/packages/platform/tests/outbound/unit-outbound-client.cpp
+++ b/packages/platform/tests/outbound/unit-outbound-client.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(unused_connections_are_closed);
     CPPUNIT_TEST(new_connection_carries_one_request);
     CPPUNIT_TEST(no_answer_renews_every_connection_to_the_server);
+    CPPUNIT_TEST(no_answer_keeps_connections_that_answered_since);
     CPPUNIT_TEST(abandoned_request_closes_its_connection);
     CPPUNIT_TEST(long_answer_is_refused);
     CPPUNIT_TEST(long_chunked_answer_is_refused);
@@ -189,6 +190,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, client_->counters().connections_renewed);
     }
 
+    void no_answer_keeps_connections_that_answered_since()
+    {
+        server_->on_request = [](const scripted_request& it) {
+            if (it.body == "answered") {
+                scripted_server::answer(it);
+            }
+        };
+        const outbound_call_id silent = post("ignored", 200ms);
+        post_and_wait("answered");
+        CPPUNIT_ASSERT(run_until([&] { return recorder_->outcomes.contains(silent.value()); }));
+        post_and_wait("answered");
+        CPPUNIT_ASSERT_EQUAL(2, server_->connections);
+    }
+
     void abandoned_request_closes_its_connection()
     {
         const outbound_call_id call = post("task", 10s);
