--- a/packages/daemon/src/peers/frame_channel.cpp
+++ b/packages/daemon/src/peers/frame_channel.cpp
@@ -134,8 +134,8 @@
     }
     closed_ = true;
     batch_.clear();
-    socket_->abort();
     context_.metrics->count_closed(role_, reason);
+    socket_->abort();
     observer_->on_closed();
 }
 
--- a/packages/daemon/tests/support/raw_peer.hpp
+++ b/packages/daemon/tests/support/raw_peer.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/wire/peer/frame.hpp"
 #include "papayafall/wire/peer/message_limits.hpp"
 #include "support/peer_process.hpp"
+#include "support/qt_application.hpp"
 
 #include <QHostAddress>
 #include <QTcpServer>
@@ -45,36 +46,15 @@
         return socket_->waitForConnected(wait_limit);
     }
 
-    /// Exchanges the first frames as the end that accepted; returns what the peer sent.
-    std::optional<peer_message> shake_hands(const peer_id& self)
+    /// Exchanges the first frames; returns whether the peer under test sent its own.
+    bool shake_hands(const peer_id& self)
     {
-        std::optional<peer_message> first;
-        if (role_ == link_role::responder) {
-            first = read();
-            if (!first) {
-                return first;
-            }
-            receiving_.responder_nonce = nonce_;
-            receiving_.initiator_nonce = std::get<hello>(*first).nonce;
-            sending_.initiator_nonce = receiving_.initiator_nonce;
-            write(hello{self, zone_name("north"), nonce_});
-            sending_.responder_nonce = nonce_;
-            return first;
-        }
-        write(hello{self, zone_name("north"), nonce_});
-        sending_.initiator_nonce = nonce_;
-        receiving_.initiator_nonce = nonce_;
-        first = read();
-        if (first) {
-            sending_.responder_nonce = std::get<hello>(*first).nonce;
-            receiving_.responder_nonce = sending_.responder_nonce;
-        }
-        return first;
+        return role_ == link_role::initiator ? offer_hello(self) : answer_hello(self);
     }
 
     std::string encode(const peer_message& message)
     {
-        const std::string frame = encode_frame(message, sending_, authenticator_, time_point{});
+        std::string frame = encode_frame(message, sending_, authenticator_, time_point{});
         ++sending_.sequence;
         return frame;
     }
@@ -105,11 +85,12 @@
     /// The next message that is not a heartbeat.
     std::optional<peer_message> read_content()
     {
-        std::optional<peer_message> message = read();
-        while (message && std::holds_alternative<link_heartbeat>(*message)) {
-            message.emplace(*read());
+        while (true) {
+            std::optional<peer_message> message = read();
+            if (!message || !std::holds_alternative<link_heartbeat>(*message)) {
+                return message;
+            }
         }
-        return message;
     }
 
     /// Whether the peer under test closes the link.
@@ -127,6 +108,34 @@
     void abort() { socket_->abort(); }
 
   private:
+    bool offer_hello(const peer_id& self)
+    {
+        write(hello{self, zone_name("north"), nonce_});
+        sending_.initiator_nonce = nonce_;
+        receiving_.initiator_nonce = nonce_;
+        const std::optional<peer_message> first = read();
+        if (!first) {
+            return false;
+        }
+        sending_.responder_nonce = std::get<hello>(*first).nonce;
+        receiving_.responder_nonce = sending_.responder_nonce;
+        return true;
+    }
+
+    bool answer_hello(const peer_id& self)
+    {
+        const std::optional<peer_message> first = read();
+        if (!first) {
+            return false;
+        }
+        sending_.initiator_nonce = std::get<hello>(*first).nonce;
+        write(hello{self, zone_name("north"), nonce_});
+        sending_.responder_nonce = nonce_;
+        receiving_.initiator_nonce = sending_.initiator_nonce;
+        receiving_.responder_nonce = nonce_;
+        return true;
+    }
+
     void start(link_role role)
     {
         role_ = role;
@@ -145,6 +154,7 @@
         return message;
     }
 
+    QCoreApplication& application_ = qt_application();
     qt_message_authenticator authenticator_{test_key};
     link_nonce nonce_{7, 7, 7};
     link_role role_ = link_role::initiator;
