--- /dev/null
+++ b/packages/daemon/src/targets/target_thread.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "papayafall/core/engine/mailbox.hpp"
+#include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
+#include "target_metrics.hpp"
+
+#include <QObject>
+#include <QThread>
+
+namespace papayafall::detail {
+
+/// The part of a traffic thread that lives on it: turns actions into HTTP requests and their ends
+/// into events.
+class target_worker : public QObject, public outbound_observer {
+  public:
+    target_worker(const outbound_options& options, const clock_source& clock, event_sink& events,
+                  target_metrics& metrics);
+
+    void handle(const action& requested);
+
+    void on_finished(outbound_call_id call, const outbound_outcome& outcome) override;
+
+  private:
+    void start(const start_exchange& requested);
+
+    const clock_source* clock_;
+    event_sink* events_;
+    target_metrics* metrics_;
+    outbound_client client_;
+    outbound_counters reported_;
+};
+
+/// A traffic thread with an event loop and a mailbox.
+class target_thread {
+  public:
+    target_thread(const outbound_options& options, const clock_source& clock, event_sink& events,
+                  target_metrics& metrics);
+    target_thread(const target_thread&) = delete;
+    target_thread& operator=(const target_thread&) = delete;
+    ~target_thread();
+
+    /// Callable from any thread.
+    void post(action requested) { actions_.post(std::move(requested)); }
+
+  private:
+    void drain();
+
+    QThread thread_;
+    QObject context_; ///< lives on the thread
+    std::unique_ptr<target_worker> worker_;
+    mailbox<action> actions_;
+};
+
+} // namespace papayafall::detail
--- a/packages/daemon/tests/peers/unit-peer_links.cpp
+++ b/packages/daemon/tests/peers/unit-peer_links.cpp
@@ -1,5 +1,6 @@
 #include "support/peer_process.hpp"
 #include "support/raw_peer.hpp"
+#include "support/test_application.hpp"
 
 #include <QUdpSocket>
 #include <cppunit/extensions/HelperMacros.h>
@@ -84,6 +85,8 @@
     CPPUNIT_TEST_SUITE_END();
 
   public:
+    void setUp() override { ensure_application(); }
+
     void peer_that_never_answers_the_hello_got_nothing()
     {
         peer_process entry(make_peer_options("entry"));
@@ -213,6 +216,8 @@
     CPPUNIT_TEST_SUITE_END();
 
   public:
+    void setUp() override { ensure_application(); }
+
     void oversized_frame_closes_the_link()
     {
         peer_process home(make_patient_options("home"));
--- a/packages/daemon/tests/support/raw_peer.hpp
+++ b/packages/daemon/tests/support/raw_peer.hpp
@@ -4,7 +4,6 @@
 #include "papayafall/wire/peer/frame.hpp"
 #include "papayafall/wire/peer/message_limits.hpp"
 #include "support/peer_process.hpp"
-#include "support/qt_application.hpp"
 
 #include <QHostAddress>
 #include <QTcpServer>
@@ -154,7 +153,6 @@
         return message;
     }
 
-    QCoreApplication& application_ = qt_application();
     qt_message_authenticator authenticator_{test_key};
     link_nonce nonce_{7, 7, 7};
     link_role role_ = link_role::initiator;
--- /dev/null
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_message.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "papayafall/core/values/bytes.hpp"
+#include "papayafall/core/values/host.hpp"
+#include "papayafall/core/values/time.hpp"
+#include "papayafall/core/values/value.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace papayafall {
+
+/// One header field of a request or a response.
+struct outbound_header {
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const outbound_header&) const = default;
+};
+
+struct outbound_request_fields {
+    endpoint server;
+    std::string path; ///< begins with '/'
+    std::vector<outbound_header> headers;
+    bytes body;
+    /// Instant at which the exchange ends without an answer.
+    time_point deadline = no_deadline;
+    /// Use a connection that carries nothing else. A server may close an unused connection while a
+    /// request is on its way to it, which leaves the outcome of that request unknown.
+    bool new_connection = false;
+
+    auto operator<=>(const outbound_request_fields&) const = default;
+};
+
+/// A POST to a server that is named by address and port.
+using outbound_request = value<outbound_request_fields>;
+
+struct outbound_response_fields {
+    std::uint16_t status = 0;
+    std::vector<outbound_header> headers;
+    bytes body;
+
+    auto operator<=>(const outbound_response_fields&) const = default;
+};
+
+/// A response that arrived whole.
+using outbound_response = value<outbound_response_fields>;
+
+/// Returns the value of the header `name`, compared without case, or nothing.
+std::optional<std::string_view> find_header(const outbound_response& response,
+                                            std::string_view name);
+
+/// Why a request got no whole response.
+enum class outbound_failure : std::uint8_t {
+    not_sent,         ///< no byte of the body was written
+    connection_lost,  ///< the connection broke after a byte may have been written
+    no_answer,        ///< the deadline passed first, after a byte may have been written
+    answer_too_large, ///< the response is longer than the limit
+    answer_malformed, ///< the response does not tell its length, so that it cannot be known whole
+};
+
+/// How a request ended.
+using outbound_outcome = std::variant<outbound_response, outbound_failure>;
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -0,0 +1,284 @@
+#include "papayafall/platform/outbound/outbound_client.hpp"
+
+#include "outbound_call.hpp"
+
+#include <QNetworkProxy>
+#include <QNetworkRequest>
+#include <QUrl>
+
+#include <algorithm>
+#include <utility>
+
+namespace papayafall {
+
+namespace {
+
+/// Shortest time between two looks at the deadlines.
+constexpr std::chrono::milliseconds timer_resolution{1};
+
+QUrl make_url(const outbound_request& request)
+{
+    QUrl url;
+    url.setScheme(QStringLiteral("http"));
+    url.setHost(QString::fromStdString(request->server.address));
+    url.setPort(request->server.port);
+    url.setPath(QString::fromStdString(request->path));
+    return url;
+}
+
+/// Turns off what a request could bring beyond one exchange with one server.
+void restrict_features(QNetworkRequest& request)
+{
+    request.setAttribute(QNetworkRequest::RedirectPolicyAttribute,
+                         QNetworkRequest::ManualRedirectPolicy);
+    request.setAttribute(QNetworkRequest::CacheLoadControlAttribute,
+                         QNetworkRequest::AlwaysNetwork);
+    request.setAttribute(QNetworkRequest::CacheSaveControlAttribute, false);
+    request.setAttribute(QNetworkRequest::CookieLoadControlAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::CookieSaveControlAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::AuthenticationReuseAttribute, QNetworkRequest::Manual);
+    request.setAttribute(QNetworkRequest::HttpPipeliningAllowedAttribute, false);
+    request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
+    request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
+    request.setRawHeader("Accept-Encoding", "identity");
+}
+
+/// Has the library keep a connection of its own for each `connection_id`.
+///
+/// The library shares at most six connections to a server among all requests with the same verify
+/// name, and queues what goes beyond. Without TLS the name has no other use, so that a name of its
+/// own gives a request a connection of its own.
+void select_connection(QNetworkRequest& request, connection_id connection,
+                       std::chrono::seconds idle_limit)
+{
+    request.setPeerVerifyName(QString::number(connection.value()));
+    request.setAttribute(QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute,
+                         static_cast<int>(idle_limit.count()));
+}
+
+QNetworkRequest make_request(const detail::outbound_call& call,
+                             std::chrono::milliseconds idle_limit)
+{
+    QNetworkRequest request(make_url(call.request));
+    restrict_features(request);
+    const bool single = call.request->new_connection;
+    select_connection(request, call.connection,
+                      single ? std::chrono::seconds(0)
+                             : std::chrono::ceil<std::chrono::seconds>(idle_limit));
+    if (single) {
+        request.setRawHeader("Connection", "close");
+    }
+    request.setHeader(QNetworkRequest::ContentLengthHeader,
+                      QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
+    request.setHeader(QNetworkRequest::ContentTypeHeader,
+                      QStringLiteral("application/octet-stream"));
+    for (const outbound_header& it : call.request->headers) {
+        request.setRawHeader(QByteArray::fromStdString(it.name),
+                             QByteArray::fromStdString(it.value));
+    }
+    return request;
+}
+
+/// Whether `error` tells of the connection rather than of the status of a whole response.
+bool is_connection_error(QNetworkReply::NetworkError error) noexcept
+{
+    return (error > QNetworkReply::NoError && error <= QNetworkReply::UnknownNetworkError) ||
+           error == QNetworkReply::ContentReSendError || error == QNetworkReply::ProtocolFailure;
+}
+
+/// Whether the library gave up preparing for a redirect that is not going to be followed.
+bool is_unfollowed_redirect(const QNetworkReply& reply)
+{
+    constexpr int first_redirect = 300;
+    constexpr int first_client_error = 400;
+    const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    return reply.error() == QNetworkReply::ContentReSendError && status >= first_redirect &&
+           status < first_client_error;
+}
+
+bool was_refused(QNetworkReply::NetworkError error) noexcept
+{
+    return error == QNetworkReply::ConnectionRefusedError ||
+           error == QNetworkReply::HostNotFoundError;
+}
+
+/// Whether the end of the body was told by more than the end of the connection.
+bool is_delimited(const QNetworkReply& reply)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
+    return reply.hasRawHeader("Content-Length") || status == no_content || status == not_modified ||
+           reply.rawHeader("Transfer-Encoding").toLower().contains("chunked");
+}
+
+outbound_response read_response(QNetworkReply& reply)
+{
+    outbound_response_fields fields;
+    fields.status = static_cast<std::uint16_t>(
+        reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toUInt());
+    for (const auto& [name, value] : reply.rawHeaderPairs()) {
+        fields.headers.push_back(
+            outbound_header{.name = name.toStdString(), .value = value.toStdString()});
+    }
+    fields.body = bytes(reply.readAll().toStdString());
+    return {std::move(fields)};
+}
+
+bool exceeds(const QNetworkReply& reply, std::size_t limit)
+{
+    const auto allowed = static_cast<qint64>(limit);
+    return reply.bytesAvailable() > allowed ||
+           reply.header(QNetworkRequest::ContentLengthHeader).toLongLong() > allowed;
+}
+
+outbound_outcome read_outcome(const detail::outbound_call& call, std::size_t limit)
+{
+    QNetworkReply& reply = *call.reply;
+    const bool has_status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).isValid();
+    const bool broken = is_connection_error(reply.error()) && !is_unfollowed_redirect(reply);
+    if (!has_status || broken) {
+        const bool unsent = call.unsent() || was_refused(reply.error());
+        return unsent ? outbound_failure::not_sent : outbound_failure::connection_lost;
+    }
+    if (exceeds(reply, limit)) {
+        return outbound_failure::answer_too_large;
+    }
+    if (!is_delimited(reply)) {
+        return outbound_failure::answer_malformed;
+    }
+    return read_response(reply);
+}
+
+} // namespace
+
+outbound_client::outbound_client(const outbound_options& options, const clock_source& clock,
+                                 outbound_observer& observer)
+    : options_(options), clock_(&clock), observer_(&observer), pool_(options.idle_limit),
+      calls_(std::make_unique<detail::outbound_call_table>())
+{
+    manager_.setProxy(QNetworkProxy::NoProxy);
+    manager_.setAutoDeleteReplies(false);
+    timer_.setSingleShot(true);
+    timer_.setTimerType(Qt::PreciseTimer);
+    connect(&timer_, &QTimer::timeout, this, &outbound_client::on_timeout);
+}
+
+outbound_client::~outbound_client()
+{
+    while (const detail::outbound_call_ptr call = calls_->first()) {
+        call->reply->disconnect(this);
+        call->reply->abort();
+        delete call->reply;
+        calls_->erase(*call);
+    }
+}
+
+void outbound_client::post(outbound_call_id call, const outbound_request& request)
+{
+    const time_point started_at = now();
+    const time_point connected_by = started_at + options_.connect_limit;
+    const connection_id connection =
+        request->new_connection ? pool_.acquire_new() : pool_.acquire(request->server, started_at);
+    const detail::outbound_call_ptr it(new detail::outbound_call(
+        call, request, connection, std::min(connected_by, request->deadline)));
+    auto* body = new one_shot_body(request->body);
+    it->attach(manager_.post(make_request(*it, options_.idle_limit), body), body);
+    connect(it->reply, &QNetworkReply::finished, this, [this, call] { on_reply_finished(call); });
+    connect(it->reply, &QNetworkReply::readyRead, this, [this, call] { on_reply_progress(call); });
+    connect(it->reply, &QNetworkReply::metaDataChanged, this,
+            [this, call] { on_reply_progress(call); });
+    calls_->insert(it);
+    schedule();
+}
+
+void outbound_client::abandon(outbound_call_id call)
+{
+    const detail::outbound_call_ptr it = calls_->find(call);
+    if (it) {
+        give_up(*it, outbound_failure::connection_lost);
+    }
+}
+
+std::size_t outbound_client::in_progress() const noexcept
+{
+    return calls_->size();
+}
+
+outbound_counters outbound_client::counters() const noexcept
+{
+    return {.connections_opened = pool_.opened(), .connections_renewed = renewed_};
+}
+
+void outbound_client::on_reply_finished(outbound_call_id call)
+{
+    const detail::outbound_call_ptr it = calls_->find(call);
+    if (!it) {
+        return;
+    }
+    const outbound_outcome outcome = read_outcome(*it, options_.largest_answer);
+    const bool reusable = !it->request->new_connection &&
+                          it->reply->error() != QNetworkReply::ContentReSendError &&
+                          std::holds_alternative<outbound_response>(outcome);
+    if (reusable) {
+        pool_.release(it->request->server, it->connection, now());
+    }
+    finish(*it, outcome);
+}
+
+void outbound_client::on_reply_progress(outbound_call_id call)
+{
+    const detail::outbound_call_ptr it = calls_->find(call);
+    if (it && exceeds(*it->reply, options_.largest_answer)) {
+        give_up(*it, outbound_failure::answer_too_large);
+    }
+}
+
+void outbound_client::on_timeout()
+{
+    const time_point checked_at = now();
+    for (auto it = calls_->first_due(); it && it->due <= checked_at; it = calls_->first_due()) {
+        if (it->request->deadline > checked_at && !it->unsent()) {
+            calls_->postpone(*it, it->request->deadline);
+            continue;
+        }
+        pool_.renew(it->request->server);
+        ++renewed_;
+        give_up(*it, outbound_failure::no_answer);
+    }
+    schedule();
+}
+
+void outbound_client::give_up(detail::outbound_call& call, outbound_failure reason)
+{
+    const bool unsent = call.unsent();
+    call.reply->disconnect(this);
+    call.reply->abort();
+    finish(call, unsent ? outbound_failure::not_sent : reason);
+}
+
+void outbound_client::finish(detail::outbound_call& call, const outbound_outcome& outcome)
+{
+    const detail::outbound_call_ptr keep(&call);
+    call.reply->deleteLater();
+    calls_->erase(call);
+    schedule();
+    observer_->on_finished(call.id, outcome);
+}
+
+void outbound_client::schedule()
+{
+    const detail::outbound_call_ptr first = calls_->first_due();
+    if (!first || first->due == no_deadline) {
+        timer_.stop();
+        return;
+    }
+    if (timer_.isActive() && wakes_at_ <= first->due) {
+        return;
+    }
+    wakes_at_ = first->due;
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(first->due - now());
+    timer_.start(std::max(wait, timer_resolution));
+}
+
+} // namespace papayafall
