--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -1,7 +1,5 @@
 #include "papayafall/daemon/control/control_thread.hpp"
 
-#include "papayafall/daemon/control/clocks.hpp"
-
 #include <QMetaObject>
 
 namespace papayafall {
@@ -17,8 +15,10 @@
 
 } // namespace
 
-control_thread::control_thread(std::unique_ptr<engine> core, fault_handler on_fault)
-    : core_(std::move(core)), on_fault_(std::move(on_fault)), mailbox_([this] { wake(); })
+control_thread::control_thread(std::unique_ptr<engine> core, const clock_source& clock,
+                               fault_handler on_fault)
+    : core_(std::move(core)), clock_(clock), on_fault_(std::move(on_fault)),
+      mailbox_([this] { wake(); })
 {
     thread_.setObjectName("control");
     context_.moveToThread(&thread_);
@@ -74,7 +74,7 @@
         return;
     }
     try {
-        core_->handle(batch, read_clocks());
+        core_->handle(batch, clock_.read());
     } catch (const std::exception& ex) {
         on_fault_(ex);
         return;
@@ -85,7 +85,7 @@
 void control_thread::run_tick()
 {
     try {
-        core_->tick(read_clocks());
+        core_->tick(clock_.read());
     } catch (const std::exception& ex) {
         on_fault_(ex);
         return;
--- a/packages/daemon/src/http/caller_server.cpp
+++ b/packages/daemon/src/http/caller_server.cpp
@@ -130,9 +130,9 @@
     caller_socket& caller_;
 };
 
-caller_server::caller_server(const front_end_options& options, const front_end_links& links,
+caller_server::caller_server(front_end_options options, const front_end_links& links,
                              call_numbering numbering)
-    : options_(options), links_(links), numbering_(numbering)
+    : options_(std::move(options)), links_(links), numbering_(numbering)
 {
 }
 
@@ -166,11 +166,16 @@
 
 void caller_server::set_tls(const QSslConfiguration& tls)
 {
-    listener_->set_tls(tls);
+    if (listener_ != nullptr) {
+        listener_->set_tls(tls);
+    }
 }
 
 void caller_server::stop_accepting(std::function<void()> drained)
 {
+    if (listener_ == nullptr) {
+        return;
+    }
     drained_ = std::move(drained);
     listener_->stop();
     check_drained();
