--- /dev/null
+++ b/packages/core/include/papayafall/core/controllers/target_controller.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "papayafall/core/blackboard/blackboard.hpp"
+#include "papayafall/core/controllers/controller.hpp"
+#include "papayafall/core/policies/ejection_policy.hpp"
+
+#include <memory>
+#include <set>
+
+namespace papayafall {
+
+/// Judges the targets of this host's zone and decides which of them this host dispatches to.
+/// Runs after the controller that writes the hosts, and before the one that erases exchanges.
+class target_controller final : public controller {
+  public:
+    target_controller(blackboard& board, std::shared_ptr<const ejection_policy> ejection);
+
+    std::string_view name() const noexcept override { return "target"; }
+
+    void on_event(blackboard& board, const event& incoming, const clock_reading& now) override;
+    void on_tick(blackboard& board, const clock_reading& now) override;
+
+  private:
+    void read_list(blackboard& board, const host_list_snapshot& hosts, const clock_reading& now);
+    void read_entry(blackboard& board, const target_entry& entry, const clock_reading& now);
+    void drop_unlisted(blackboard& board, const std::set<target_name>& listed,
+                       const clock_reading& now);
+    void read_heartbeat(blackboard& board, const heartbeat& beat, const clock_reading& now);
+    void judge(blackboard& board, const exchange_finished& incoming, const clock_reading& now);
+    void count_outcome(const blackboard& board, bool success);
+    void end_stage(blackboard& board, const target_name& target, const clock_reading& now);
+    void divide(blackboard& board, const clock_reading& now);
+    void replace(blackboard& board, const target_name& target, const target_state& after);
+    void erase(blackboard& board, const target_name& target);
+
+    std::shared_ptr<const ejection_policy> ejection_;
+    table_writer<target_name, target_state> targets_;
+    cell_writer<zone_health> health_;
+    cell_writer<target_division> division_;
+};
+
+} // namespace papayafall
--- a/packages/daemon/src/http/caller_request.cpp
+++ b/packages/daemon/src/http/caller_request.cpp
@@ -94,6 +94,14 @@
     };
 }
 
+http_response encode_cancellation(bool cancelled, run_state run)
+{
+    const std::string flag = cancelled ? "true" : "false";
+    return http_response{
+        .body = R"({"cancelled":)" + flag + R"(,"run":")" + std::string(to_string(run)) + R"("})",
+    };
+}
+
 http_response encode_completion(const completion& result, answer_shape shape)
 {
     switch (shape) {
@@ -105,7 +113,7 @@
     case answer_shape::tickets:
         break;
     }
-    return http_response{.status = 204};
+    return encode_cancellation(false, run_state::ran);
 }
 
 } // namespace
@@ -127,6 +135,9 @@
 http_response encode_answer(const answer& result, answer_shape shape, time_point now)
 {
     if (const auto* reason = std::get_if<failure>(&result)) {
+        if (shape == answer_shape::cancellation && reason->id == error_id::cancelled) {
+            return encode_cancellation(true, reason->run);
+        }
         return problem_response(*reason, now);
     }
     return encode_completion(std::get<completion>(result), shape);
--- a/packages/daemon/src/http/front_end.cpp
+++ b/packages/daemon/src/http/front_end.cpp
@@ -1,7 +1,7 @@
 #include "papayafall/daemon/http/front_end.hpp"
 
+#include "papayafall/daemon/control/clocks.hpp"
 #include "papayafall/daemon/http/front_end_thread.hpp"
-#include "papayafall/daemon/http/steady_now.hpp"
 #include "papayafall/daemon/http/tls_loader.hpp"
 
 #include <algorithm>
@@ -82,7 +82,7 @@
 
 void front_end::stop(std::chrono::milliseconds limit)
 {
-    const time_point deadline = steady_now() + limit;
+    const time_point deadline = read_clocks().steady + limit;
     stop_accepting();
     for (const auto& it : threads_) {
         it->join(deadline);
--- a/packages/daemon/src/http/front_end_thread.cpp
+++ b/packages/daemon/src/http/front_end_thread.cpp
@@ -1,6 +1,6 @@
 #include "papayafall/daemon/http/front_end_thread.hpp"
 
-#include "papayafall/daemon/http/steady_now.hpp"
+#include "papayafall/daemon/control/clocks.hpp"
 
 #include <QMetaObject>
 
@@ -21,7 +21,7 @@
 
 front_end_thread::~front_end_thread()
 {
-    join(steady_now());
+    join(read_clocks().steady);
 }
 
 void front_end_thread::start()
@@ -52,7 +52,7 @@
     if (!thread_.isRunning()) {
         return;
     }
-    const auto left = std::max(deadline - steady_now(), duration::zero());
+    const auto left = std::max(deadline - read_clocks().steady, duration::zero());
     const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     if (thread_.wait(QDeadlineTimer(left_ms))) {
         return;
--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -4,11 +4,10 @@
 
 #include "http/raw_client.hpp"
 #include "http/scripted_core.hpp"
+#include "support/qt_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <QCoreApplication>
-
 #include <chrono>
 #include <memory>
 #include <set>
@@ -47,16 +46,13 @@
 
 /// A running front end with a scripted core behind it.
 class fixture {
-  private:
-    int argc_ = 0;
-    QCoreApplication application_{argc_, nullptr};
-
   public:
     explicit fixture(const front_end_options& options = {}) : front(options, core, registry)
     {
         front.start();
     }
 
+    QCoreApplication& application = qt_application();
     scripted_core core;
     prometheus::Registry registry;
     front_end front;
@@ -93,7 +89,7 @@
         raw_client client(it.front.port());
         CPPUNIT_ASSERT(client.send(post_of(quote_path, "first") + post_of(quote_path, "second") +
                                    get_of("/healthz")));
-        const auto first = it.core.wait_for<request_received>();
+        const auto first = it.core.find<request_received>();
         CPPUNIT_ASSERT(first);
         // The health page needs no answer from the core; it must not overtake, nor may a second
         // request be read before the first one is answered.
@@ -104,7 +100,7 @@
 
         it.front.post(answer_call{first->call, scripted_core::echo_of(first->content)});
         CPPUNIT_ASSERT(client.read_response().ends_with("first"));
-        const auto second = it.core.wait_for<request_received>(1);
+        const auto second = it.core.find<request_received>(1);
         CPPUNIT_ASSERT(second);
         it.front.post(answer_call{second->call, scripted_core::echo_of(second->content)});
         CPPUNIT_ASSERT(client.read_response().ends_with("second"));
@@ -116,10 +112,10 @@
         fixture it;
         raw_client client(it.front.port());
         CPPUNIT_ASSERT(client.send(post_of(quote_path, "x")));
-        const auto received = it.core.wait_for<request_received>();
+        const auto received = it.core.find<request_received>();
         CPPUNIT_ASSERT(received);
         client.reset();
-        const auto closed = it.core.wait_for<call_closed>();
+        const auto closed = it.core.find<call_closed>();
         CPPUNIT_ASSERT(closed && closed->call == received->call);
         it.front.post(answer_call{received->call, scripted_core::echo_of(received->content)});
 
@@ -141,18 +137,19 @@
             R"({"answers":[{"status":200,"body":"a"},{"status":200,"body":{"b":1}}]})"));
 
         CPPUNIT_ASSERT(client.send(post_of("/v1/tickets", R"({"count":2})")));
-        const auto asked = it.core.wait_for<tickets_requested>();
+        const auto asked = it.core.find<tickets_requested>();
         CPPUNIT_ASSERT(asked && asked->count == 2);
         const ticket issued{zone_name("za"), host_name("h"), incarnation_id(1), 2};
         it.front.post(issue_tickets{asked->call, {issued}});
         CPPUNIT_ASSERT(client.read_response().ends_with(R"({"tickets":["t1.za.h.1.2"]})"));
 
         CPPUNIT_ASSERT(client.send("DELETE /v1/requests/a%2Fb%3F HTTP/1.1\r\n\r\n"));
-        const auto cancelled = it.core.wait_for<cancel_received>();
+        const auto cancelled = it.core.find<cancel_received>();
         CPPUNIT_ASSERT(cancelled);
         CPPUNIT_ASSERT(cancelled->key == request_key(caller_key{.text = "a/b?"}));
-        it.front.post(answer_call{std::get<local_origin>(cancelled->origin).call, completion()});
-        CPPUNIT_ASSERT(has_status(client.read_response(), 204));
+        it.front.post(answer_call{std::get<local_origin>(cancelled->origin).call,
+                                  failure{.id = error_id::cancelled}});
+        CPPUNIT_ASSERT(client.read_response().ends_with(R"({"cancelled":true,"run":"not_run"})"));
     }
 
     void answers_find_the_thread_of_their_call()
@@ -169,7 +166,7 @@
         }
         std::set<call_id> calls;
         for (std::size_t n = 0; n < clients.size(); ++n) {
-            calls.insert(it.core.wait_for<request_received>(n)->call);
+            calls.insert(it.core.find<request_received>(n)->call);
         }
         CPPUNIT_ASSERT_EQUAL(clients.size(), calls.size());
     }
@@ -179,7 +176,7 @@
         fixture it;
         raw_client client(it.front.port());
         CPPUNIT_ASSERT(client.send(post_of(quote_path, "x")));
-        const auto received = it.core.wait_for<request_received>();
+        const auto received = it.core.find<request_received>();
         CPPUNIT_ASSERT(received);
         it.front.post(answer_call{
             received->call,
@@ -336,7 +333,7 @@
         CPPUNIT_ASSERT(has_status(idle.read_response(), 503));
         raw_client client(it.front.port());
         CPPUNIT_ASSERT(client.send(post_of(quote_path, "last")));
-        const auto received = it.core.wait_for<request_received>();
+        const auto received = it.core.find<request_received>();
         CPPUNIT_ASSERT(received);
 
         it.front.stop_accepting();
@@ -356,7 +353,7 @@
         fixture it;
         raw_client client(it.front.port());
         CPPUNIT_ASSERT(client.send(post_of(quote_path, "never answered")));
-        CPPUNIT_ASSERT(it.core.wait_for<request_received>());
+        CPPUNIT_ASSERT(it.core.find<request_received>());
         it.front.stop(std::chrono::milliseconds(100));
         CPPUNIT_ASSERT(client.wait_until_closed());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.core.count<call_closed>());
--- a/packages/daemon/tests/http/unit-front_end_tls.cpp
+++ b/packages/daemon/tests/http/unit-front_end_tls.cpp
@@ -4,17 +4,16 @@
 #include "http/raw_client.hpp"
 #include "http/scripted_core.hpp"
 #include "http/test_certificates.hpp"
+#include "support/qt_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <QCoreApplication>
 #include <QFile>
 #include <QSslCertificate>
 #include <QSslSocket>
 #include <QTemporaryDir>
 
 #include <chrono>
-#include <memory>
 #include <string>
 
 using namespace papayafall;
@@ -77,13 +76,7 @@
     CPPUNIT_TEST_SUITE_END();
 
   public:
-    void setUp() override
-    {
-        static int argc = 0;
-        application_ = std::make_unique<QCoreApplication>(argc, nullptr);
-    }
-
-    void tearDown() override { application_.reset(); }
+    void setUp() override { qt_application(); }
 
     void reloaded_certificate_is_shown_to_new_connections()
     {
@@ -157,7 +150,6 @@
     }
 
   private:
-    std::unique_ptr<QCoreApplication> application_;
     scripted_core core_;
     prometheus::Registry registry_;
 };
