--- a/packages/daemon/include/papayafall/daemon/http/front_end_thread.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/front_end_thread.hpp
@@ -49,6 +49,7 @@
     /// Closes the server and leaves the event loop; runs on the thread itself.
     void end();
 
+    const clock_source& clock_;
     listening_socket socket_;
     std::optional<QSslConfiguration> tls_;
     QThread thread_;
--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -47,12 +47,13 @@
 /// A running front end with a scripted core behind it.
 class fixture {
   public:
-    explicit fixture(const front_end_options& options = {}) : front(options, core, registry)
+    explicit fixture(const front_end_options& options = {}) : front(options, clock, core, registry)
     {
         front.start();
     }
 
     QCoreApplication& application = qt_application();
+    system_clock_source clock;
     scripted_core core;
     prometheus::Registry registry;
     front_end front;
@@ -361,11 +362,12 @@
 
     void used_port_is_a_typed_error()
     {
+        const system_clock_source clock;
         scripted_core core;
         prometheus::Registry registry;
         for (const char* it : {"not an address", "192.0.2.1"}) {
             const front_end_options options{.listen = {.address = it, .port = 1}};
-            CPPUNIT_ASSERT_THROW(front_end(options, core, registry), configuration_error);
+            CPPUNIT_ASSERT_THROW(front_end(options, clock, core, registry), configuration_error);
         }
     }
 };
--- a/packages/daemon/tests/http/unit-front_end_tls.cpp
+++ b/packages/daemon/tests/http/unit-front_end_tls.cpp
@@ -81,7 +81,7 @@
     void reloaded_certificate_is_shown_to_new_connections()
     {
         const certificate_files files;
-        front_end front({.tls = files.names()}, core_, registry_);
+        front_end front({.tls = files.names()}, clock_, core_, registry_);
         front.start();
         const auto shown = [&front] {
             QByteArray response;
@@ -105,7 +105,7 @@
     void large_answers_arrive_whole()
     {
         const certificate_files files;
-        front_end front({.tls = files.names()}, core_, registry_);
+        front_end front({.tls = files.names()}, clock_, core_, registry_);
         core_.echo_to(front);
         front.start();
         QSslSocket client;
@@ -128,7 +128,7 @@
     void plain_text_gets_nowhere()
     {
         const certificate_files files;
-        front_end front({.tls = files.names()}, core_, registry_);
+        front_end front({.tls = files.names()}, clock_, core_, registry_);
         front.start();
         raw_client client(front.port());
         CPPUNIT_ASSERT(client.send("GET /healthz HTTP/1.1\r\n\r\n"));
@@ -139,17 +139,18 @@
     {
         const certificate_files files;
         files.use("no certificate", test::first_key);
-        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, core_, registry_),
+        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, clock_, core_, registry_),
                              configuration_error);
         files.use(test::first_certificate, test::second_key);
-        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, core_, registry_),
+        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, clock_, core_, registry_),
                              configuration_error);
         CPPUNIT_ASSERT_THROW(
-            front_end({.tls = tls_files{"/nonexistent", "/nonexistent"}}, core_, registry_),
+            front_end({.tls = tls_files{"/nonexistent", "/nonexistent"}}, clock_, core_, registry_),
             configuration_error);
     }
 
   private:
+    system_clock_source clock_;
     scripted_core core_;
     prometheus::Registry registry_;
 };
