--- /dev/null
+++ b/packages/cli/include/papayafall/cli/commands/submit_command.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "papayafall/cli/command.hpp"
+#include "papayafall/cli/http/blocking_http.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace papayafall {
+
+/// `papayafall submit`: sends one request or a job and prints its answer.
+///
+/// Without `--key` it first takes a ticket, so that it may send the same submission again to any
+/// entry host after an answer was lost, without a task running twice.
+class submit_command : public command {
+  public:
+    CLI::App* attach(CLI::App& app) override;
+    exit_code run() override;
+
+  private:
+    std::string take_ticket() const;
+    entry_request make_request(const std::string& key) const;
+    entry_response submit(const entry_request& request) const;
+
+    std::vector<std::string> hosts_{"127.0.0.1:8080"};
+    std::string service_;
+    std::vector<std::string> tasks_;
+    bool job_ = false;
+    std::string key_;
+    std::string team_;
+    std::string urgency_;
+    std::uint32_t deadline_ms_ = 0;
+    std::uint32_t attempts_ = 3;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/src/main.cpp
@@ -0,0 +1,82 @@
+#include "papayafall/cli/commands/check_settings_command.hpp"
+#include "papayafall/cli/commands/submit_command.hpp"
+#include "papayafall/core/errors/exception.hpp"
+
+#include <QCoreApplication>
+
+#include <iostream>
+#include <memory>
+#include <vector>
+
+namespace {
+
+using namespace papayafall;
+
+exit_code exit_code_of(error_id id) noexcept
+{
+    switch (id) {
+    case error_id::malformed_request:
+    case error_id::invalid_settings:
+    case error_id::invalid_configuration:
+        return exit_code::usage;
+    case error_id::home_unreachable:
+    case error_id::platform_unavailable:
+        return exit_code::unavailable;
+    case error_id::plan_conflict:
+    case error_id::plan_stale:
+    case error_id::platform_conflict:
+        return exit_code::conflict;
+    case error_id::invariant_violated:
+    case error_id::section_ownership:
+        return exit_code::internal;
+    default:
+        return exit_code::refused;
+    }
+}
+
+std::vector<std::unique_ptr<command>> make_commands()
+{
+    std::vector<std::unique_ptr<command>> commands;
+    commands.push_back(std::make_unique<submit_command>());
+    commands.push_back(std::make_unique<check_settings_command>());
+    return commands;
+}
+
+int run(CLI::App& app, const std::vector<std::unique_ptr<command>>& commands,
+        const std::vector<CLI::App*>& parsers)
+{
+    for (std::size_t n = 0; n < commands.size(); ++n) {
+        if (app.got_subcommand(parsers.at(n))) {
+            return static_cast<int>(commands.at(n)->run());
+        }
+    }
+    return static_cast<int>(exit_code::usage);
+}
+
+} // namespace
+
+/// The operators' tool; `papayafall --help` lists its subcommands.
+int main(int argc, char** argv)
+{
+    const QCoreApplication application(argc, argv);
+    CLI::App app("papayafall: operate the dispatcher and submit work to it");
+    app.set_version_flag("--version", "papayafall 0.1.0");
+    app.require_subcommand(1);
+    const std::vector<std::unique_ptr<command>> commands = make_commands();
+    std::vector<CLI::App*> parsers;
+    for (const auto& it : commands) {
+        parsers.push_back(it->attach(app));
+    }
+    try {
+        app.parse(argc, argv);
+        return run(app, commands, parsers);
+    } catch (const CLI::ParseError& ex) {
+        return app.exit(ex) == 0 ? 0 : static_cast<int>(exit_code::usage);
+    } catch (const exception& ex) {
+        std::cerr << "papayafall: " << ex.what() << '\n';
+        return static_cast<int>(exit_code_of(ex.id()));
+    } catch (const std::exception& ex) {
+        std::cerr << "papayafall: " << ex.what() << '\n';
+        return static_cast<int>(exit_code::internal);
+    }
+}
