--- a/packages/daemon/include/papayafall/daemon/http/caller_socket.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_socket.hpp
@@ -76,8 +76,6 @@
     /// Whether a request is in progress.
     bool busy() const noexcept { return phase_ == phase::in_progress; }
 
-    bool closed() const noexcept { return phase_ == phase::closed; }
-
     /// Writes the response to the request in progress, or to a refused one. Without effect on a
     /// closed socket.
     void respond(const http_response& response);
--- a/packages/daemon/src/http/caller_socket.cpp
+++ b/packages/daemon/src/http/caller_socket.cpp
@@ -213,6 +213,7 @@
     phase_ = phase::in_progress;
     deadline_ = no_deadline;
     keep_alive_ = false;
+    head_only_ = false;
     refused_ = true;
     observer_.on_refused(*this, reason);
 }
--- a/packages/daemon/src/http/http_response.cpp
+++ b/packages/daemon/src/http/http_response.cpp
@@ -37,10 +37,8 @@
     message.reserve(typical_header_size + response.body.size());
     message.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
     message.append(reason_phrase(response.status)).append("\r\n");
-    if (response.status != 204) {
-        append_header(message, "Content-Type", response.content_type);
-        append_header(message, "Content-Length", std::to_string(response.body.size()));
-    }
+    append_header(message, "Content-Type", response.content_type);
+    append_header(message, "Content-Length", std::to_string(response.body.size()));
     if (response.retry_after) {
         append_header(message, "Retry-After", std::to_string(response.retry_after->count()));
     }
@@ -60,8 +58,6 @@
     switch (status) {
     case 200:
         return "OK";
-    case 204:
-        return "No Content";
     case 400:
         return "Bad Request";
     case 401:
