--- a/packages/core/tests/random/random_runs_main.cpp
+++ b/packages/core/tests/random/random_runs_main.cpp
@@ -17,6 +17,11 @@
                   << " submissions, " << it.calls << " calls, " << it.starts << " starts, "
                   << it.faults << " faults; complete " << it.complete << ", not_run " << it.not_run
                   << ", ran " << it.ran << ", unknown " << it.unknown << '\n';
+        if (std::getenv("RANDOM_RUNS_DETAIL") != nullptr) {
+            for (const auto& [kind, count] : world.seen().answer_counts()) {
+                std::cout << "  " << kind << ' ' << count << '\n';
+            }
+        }
         return true;
     } catch (const std::exception& ex) {
         std::cout << "seed " << seed << " FAILED: " << ex.what() << '\n';
--- a/packages/daemon/include/papayafall/daemon/http/caller_listener.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_listener.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "papayafall/daemon/http/caller_socket.hpp"
-#include "papayafall/daemon/http/front_end_metrics.hpp"
+#include "papayafall/daemon/http/front_end_links.hpp"
 #include "papayafall/daemon/http/front_end_options.hpp"
 
 #include <boost/intrusive/list.hpp>
@@ -20,7 +20,8 @@
     /// @param tls where given, callers have to speak TLS
     /// @param observer must outlive this object
     caller_listener(front_end_options options, std::optional<QSslConfiguration> tls,
-                    caller_socket_observer& observer, front_end_metrics& metrics, QObject* parent);
+                    const front_end_links& links, caller_socket_observer& observer,
+                    QObject* parent);
 
     /// Cuts the connections that are still open.
     ~caller_listener() override;
@@ -51,8 +52,8 @@
 
     const front_end_options options_;
     std::optional<QSslConfiguration> tls_;
+    const front_end_links links_;
     caller_socket_observer& observer_;
-    front_end_metrics& metrics_;
     boost::intrusive::list<caller_socket, boost::intrusive::base_hook<socket_list_hook>,
                            boost::intrusive::constant_time_size<false>>
         sockets_;
--- a/packages/daemon/bench/bench-front_end.cpp
+++ b/packages/daemon/tests/http/measure_front_end.cpp
@@ -82,9 +82,10 @@
 
 void run(const bench_options& options)
 {
+    const system_clock_source clock;
     instant_core core;
     prometheus::Registry registry;
-    front_end front({.threads = options.threads}, core, registry);
+    front_end front({.threads = options.threads}, clock, core, registry);
     core.answer_through(front);
     front.start();
 
@@ -97,6 +98,7 @@
     const double before = processor_seconds(CLOCK_PROCESS_CPUTIME_ID);
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(options.seconds);
     std::vector<std::thread> clients;
+    clients.reserve(results.size());
     for (client_result& it : results) {
         clients.emplace_back([&] { it = run_client(front.port(), message, end); });
     }
--- a/packages/daemon/tests/http/scripted_core.hpp
+++ b/packages/daemon/tests/http/scripted_core.hpp
@@ -1,62 +1,41 @@
 #pragma once
 
-#include "papayafall/core/engine/sinks.hpp"
+#include "support/recording_sink.hpp"
 
-#include <chrono>
-#include <condition_variable>
-#include <mutex>
+#include <atomic>
+#include <cstddef>
 #include <optional>
-#include <string>
-#include <vector>
 
 namespace papayafall::test {
 
 /// Stands for the control thread: records every event; answers requests at once when told to.
-class scripted_core final : public event_sink {
+class scripted_core final : public recording_sink {
   public:
-    /// Answers each request with the body of its first task from now on.
-    void echo_to(action_sink& sink)
-    {
-        const std::lock_guard lock(mutex_);
-        echo_ = &sink;
-    }
+    /// Answers each request with the bodies of its tasks from now on.
+    void echo_to(action_sink& sink) { echo_ = &sink; }
 
     void post(event incoming) override
     {
-        const std::lock_guard lock(mutex_);
-        if (const auto* it = std::get_if<request_received>(&incoming); it != nullptr && echo_) {
-            echo_->post(answer_call{it->call, echo_of(it->content)});
+        action_sink* echo = echo_;
+        if (const auto* it = std::get_if<request_received>(&incoming); it != nullptr && echo) {
+            echo->post(answer_call{it->call, echo_of(it->content)});
         }
-        events_.push_back(std::move(incoming));
-        changed_.notify_all();
+        recording_sink::post(std::move(incoming));
     }
 
     /// Waits for the event of type `Event` with number `n`, from 0; empty when it does not come.
     template <typename Event>
-    std::optional<Event> wait_for(std::size_t n = 0)
+    std::optional<Event> find(std::size_t n = 0)
     {
-        std::unique_lock lock(mutex_);
-        std::optional<Event> found;
-        changed_.wait_for(lock, std::chrono::seconds(20), [&] {
-            const auto* it = find<Event>(n);
-            if (it != nullptr) {
-                found.emplace(*it);
-            }
-            return it != nullptr;
-        });
-        return found;
+        const auto found = wait_for<Event>(n + 1);
+        return n < found.size() ? std::optional<Event>(found[n]) : std::nullopt;
     }
 
     /// Number of events of type `Event` so far.
     template <typename Event>
-    std::size_t count() const
+    std::size_t count()
     {
-        const std::lock_guard lock(mutex_);
-        std::size_t n = 0;
-        for (const event& it : events_) {
-            n += std::holds_alternative<Event>(it) ? 1U : 0U;
-        }
-        return n;
+        return wait_for<Event>(0).size();
     }
 
     /// The answer that repeats the body of each task.
@@ -70,21 +49,7 @@
     }
 
   private:
-    template <typename Event>
-    const Event* find(std::size_t n) const
-    {
-        for (const event& it : events_) {
-            if (const auto* found = std::get_if<Event>(&it); found != nullptr && n-- == 0) {
-                return found;
-            }
-        }
-        return nullptr;
-    }
-
-    mutable std::mutex mutex_;
-    std::condition_variable changed_;
-    std::vector<event> events_;
-    action_sink* echo_ = nullptr;
+    std::atomic<action_sink*> echo_ = nullptr;
 };
 
 } // namespace papayafall::test
--- a/packages/daemon/tests/http/unit-front_end_tls.cpp
+++ b/packages/daemon/tests/http/unit-front_end_tls.cpp
@@ -4,17 +4,16 @@
 #include "http/raw_client.hpp"
 #include "http/scripted_core.hpp"
 #include "http/test_certificates.hpp"
+#include "support/qt_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <QCoreApplication>
 #include <QFile>
 #include <QSslCertificate>
 #include <QSslSocket>
 #include <QTemporaryDir>
 
 #include <chrono>
-#include <memory>
 #include <string>
 
 using namespace papayafall;
@@ -77,18 +76,12 @@
     CPPUNIT_TEST_SUITE_END();
 
   public:
-    void setUp() override
-    {
-        static int argc = 0;
-        application_ = std::make_unique<QCoreApplication>(argc, nullptr);
-    }
-
-    void tearDown() override { application_.reset(); }
+    void setUp() override { qt_application(); }
 
     void reloaded_certificate_is_shown_to_new_connections()
     {
         const certificate_files files;
-        front_end front({.tls = files.names()}, core_, registry_);
+        front_end front({.tls = files.names()}, clock_, core_, registry_);
         front.start();
         const auto shown = [&front] {
             QByteArray response;
@@ -112,7 +105,7 @@
     void large_answers_arrive_whole()
     {
         const certificate_files files;
-        front_end front({.tls = files.names()}, core_, registry_);
+        front_end front({.tls = files.names()}, clock_, core_, registry_);
         core_.echo_to(front);
         front.start();
         QSslSocket client;
@@ -135,7 +128,7 @@
     void plain_text_gets_nowhere()
     {
         const certificate_files files;
-        front_end front({.tls = files.names()}, core_, registry_);
+        front_end front({.tls = files.names()}, clock_, core_, registry_);
         front.start();
         raw_client client(front.port());
         CPPUNIT_ASSERT(client.send("GET /healthz HTTP/1.1\r\n\r\n"));
@@ -146,18 +139,18 @@
     {
         const certificate_files files;
         files.use("no certificate", test::first_key);
-        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, core_, registry_),
+        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, clock_, core_, registry_),
                              configuration_error);
         files.use(test::first_certificate, test::second_key);
-        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, core_, registry_),
+        CPPUNIT_ASSERT_THROW(front_end({.tls = files.names()}, clock_, core_, registry_),
                              configuration_error);
         CPPUNIT_ASSERT_THROW(
-            front_end({.tls = tls_files{"/nonexistent", "/nonexistent"}}, core_, registry_),
+            front_end({.tls = tls_files{"/nonexistent", "/nonexistent"}}, clock_, core_, registry_),
             configuration_error);
     }
 
   private:
-    std::unique_ptr<QCoreApplication> application_;
+    system_clock_source clock_;
     scripted_core core_;
     prometheus::Registry registry_;
 };
