--- a/packages/platform/src/outbound/outbound_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -20,27 +20,33 @@
       public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_number>>,
       public boost::intrusive::set_base_hook<boost::intrusive::tag<struct by_due>> {
   public:
-    outbound_call(outbound_call_id it, outbound_request content, connection_id used,
+    outbound_call(outbound_call_id it, outbound_request content, connection_id used, time_point now,
                   time_point first_due)
-        : id(it), request(std::move(content)), connection(used), due(first_due)
+        : id(it), request(std::move(content)), connection(used), sent_at(now), due(first_due)
     {
     }
 
     /// Takes note of what the library uses for the call; `reply` comes to own `content`, which it
-    /// may read until it is deleted.
+    /// may read until it is deleted. `content` is null for a request without a body.
     void attach(QNetworkReply* started, one_shot_body* content)
     {
         reply = started;
         body = content;
-        body->setParent(reply);
+        if (body != nullptr) {
+            body->setParent(reply);
+        }
     }
 
     /// Whether no byte of the body can have reached the server.
-    bool unsent() const noexcept { return request->body.size() > 0 && !body->was_read(); }
+    bool unsent() const noexcept
+    {
+        return body != nullptr && request->body.size() > 0 && !body->was_read();
+    }
 
     const outbound_call_id id;
     const outbound_request request;
     const connection_id connection;
+    const time_point sent_at;
     time_point due;
     one_shot_body* body = nullptr;
     QNetworkReply* reply = nullptr;
