--- a/packages/daemon/tests/platform/unit-platform_agent.cpp
+++ b/packages/daemon/tests/platform/unit-platform_agent.cpp
@@ -4,9 +4,9 @@
 #include "papayafall/platform/store/keys.hpp"
 #include "papayafall/wire/configuration/configuration_json.hpp"
 #include "papayafall/wire/configuration/host_list_json.hpp"
+#include "support/event_loop.hpp"
 #include "support/recording_sink.hpp"
 #include "support/stand_in_platform.hpp"
-#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/packages/platform/src/http/http_caller.cpp
+++ b/packages/platform/src/http/http_caller.cpp
@@ -1,6 +1,6 @@
 #include "papayafall/platform/http/http_caller.hpp"
 
-#include "unrepeatable_body.hpp"
+#include "papayafall/platform/http/one_shot_body.hpp"
 
 #include <QNetworkProxy>
 #include <QNetworkRequest>
@@ -129,7 +129,7 @@
     request.setAttribute(QNetworkRequest::DoNotBufferUploadDataAttribute, true);
     request.setHeader(QNetworkRequest::ContentLengthHeader,
                       static_cast<qlonglong>(call.body.size()));
-    auto* body = new detail::unrepeatable_body(QByteArray::fromStdString(call.body), &manager);
+    auto* body = new one_shot_body(bytes(call.body));
     QNetworkReply* reply = manager.put(request, body);
     body->setParent(reply);
     return reply;
--- a/packages/platform/tests/unit-http_store.cpp
+++ b/packages/platform/tests/unit-http_store.cpp
@@ -3,8 +3,8 @@
 #include "papayafall/platform/store/await.hpp"
 #include "papayafall/platform/store/keys.hpp"
 #include "papayafall/wire/configuration/host_list_json.hpp"
+#include "support/event_loop.hpp"
 #include "support/stand_in_platform.hpp"
-#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/packages/platform/tests/unit-memory_store.cpp
+++ b/packages/platform/tests/unit-memory_store.cpp
@@ -1,7 +1,7 @@
 #include "papayafall/platform/memory/memory_key_value_store.hpp"
 #include "papayafall/platform/store/await.hpp"
+#include "support/event_loop.hpp"
 #include "support/manual_clock.hpp"
-#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
