--- a/packages/platform/include/papayafall/platform/store/keys.hpp
+++ b/packages/platform/include/papayafall/platform/store/keys.hpp
@@ -36,6 +36,9 @@
 /// Prefix of the entry hosts that the platform lists, of all zones.
 std::string listed_entry_hosts();
 
+/// Prefix of the targets of all zones that the platform lists.
+std::string all_listed_targets();
+
 /// Prefix of the targets of one zone that the platform lists.
 std::string listed_targets(const zone_name& zone);
 
--- a/packages/platform/src/hosts/stored_host_list.cpp
+++ b/packages/platform/src/hosts/stored_host_list.cpp
@@ -40,14 +40,15 @@
 
 } // namespace
 
-stored_host_list::stored_host_list(key_value_store& store, zone_name zone)
-    : store_(&store), zone_(std::move(zone))
+stored_host_list::stored_host_list(key_value_store& store, std::optional<zone_name> zone)
+    : store_(&store),
+      targets_prefix_(zone ? keys::listed_targets(*zone) : keys::all_listed_targets())
 {
 }
 
 void stored_host_list::read(platform_reply<host_list_snapshot> reply)
 {
-    auto read_targets = [store = store_, prefix = keys::listed_targets(zone_),
+    auto read_targets = [store = store_, prefix = targets_prefix_,
                          reply = std::move(reply)](const platform_result<stored_values>& peers) {
         if (const auto* failure = std::get_if<platform_failure>(&peers)) {
             reply(*failure);
--- a/packages/platform/src/store/keys.cpp
+++ b/packages/platform/src/store/keys.cpp
@@ -56,9 +56,14 @@
     return "hosts/entry/";
 }
 
+std::string all_listed_targets()
+{
+    return "hosts/targets/";
+}
+
 std::string listed_targets(const zone_name& zone)
 {
-    return "hosts/targets/" + zone.text() + "/";
+    return all_listed_targets() + zone.text() + "/";
 }
 
 } // namespace papayafall::keys
