--- a/packages/daemon/tests/targets/unit-target-traffic.cpp
+++ b/packages/daemon/tests/targets/unit-target-traffic.cpp
@@ -1,8 +1,6 @@
 #include "papayafall/daemon/targets/target_traffic.hpp"
-#include "papayafall/platform/http/steady_now.hpp"
 #include "support/stand_in_target.hpp"
-
-#include <QCoreApplication>
+#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <prometheus/text_serializer.h>
@@ -54,13 +52,6 @@
     std::size_t ends_ = 0;
 };
 
-void ensure_application()
-{
-    static int argc = 0;
-    static const auto* const application = new QCoreApplication(argc, nullptr);
-    static_cast<void>(application);
-}
-
 class target_traffic_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(target_traffic_test);
     CPPUNIT_TEST(task_runs_once_and_its_answer_returns);
@@ -69,6 +60,7 @@
     CPPUNIT_TEST(leaving_target_refuses_and_says_so);
     CPPUNIT_TEST(failed_task_ran);
     CPPUNIT_TEST(closed_connection_is_lost_and_started_once);
+    CPPUNIT_TEST(work_that_may_run_once_only_gets_a_new_connection);
     CPPUNIT_TEST(unreachable_target_was_not_sent_the_task);
     CPPUNIT_TEST(silent_connection_is_replaced);
     CPPUNIT_TEST(abandoned_exchange_ends_once);
@@ -84,8 +76,8 @@
         metrics_ = std::make_unique<prometheus::Registry>();
         targets_ =
             std::make_unique<stand_in_targets>(2, stand_in_options{.slots = 8, .run_time = 1ms});
-        traffic_ = std::make_unique<target_traffic>(target_traffic_options{.threads = 2}, *events_,
-                                                    *metrics_);
+        traffic_ = std::make_unique<target_traffic>(target_traffic_options{.threads = 2}, clock_,
+                                                    *events_, *metrics_);
     }
 
     void tearDown() override
@@ -151,6 +143,15 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, targets_->starts().at("b"));
     }
 
+    void work_that_may_run_once_only_gets_a_new_connection()
+    {
+        run("{}");
+        idempotent_ = false;
+        run("{}");
+        run("{}");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, targets_->counts().connections);
+    }
+
     void unreachable_target_was_not_sent_the_task()
     {
         const std::uint16_t port = targets_->port();
@@ -220,9 +221,9 @@
             .exchange = last_,
             .target = target_name("t"),
             .address = {.address = "127.0.0.1", .port = port ? *port : targets_->port()},
-            .work =
-                work_item(work_item_fields{.service = service_name("quote"), .body = bytes(body)}),
-            .deadline = steady_now() + time_limit});
+            .work = work_item(work_item_fields{
+                .service = service_name("quote"), .idempotent = idempotent_, .body = bytes(body)}),
+            .deadline = clock_.read().steady + time_limit});
         return last_;
     }
 
@@ -234,11 +235,13 @@
         return events_->outcome(id);
     }
 
+    system_clock_source clock_;
     std::unique_ptr<event_recorder> events_;
     std::unique_ptr<prometheus::Registry> metrics_;
     std::unique_ptr<stand_in_targets> targets_;
     std::unique_ptr<target_traffic> traffic_;
     exchange_id last_;
+    bool idempotent_ = true;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(target_traffic_test);
--- a/packages/platform/src/http/http_caller.cpp
+++ b/packages/platform/src/http/http_caller.cpp
@@ -1,6 +1,6 @@
 #include "papayafall/platform/http/http_caller.hpp"
 
-#include "papayafall/platform/http/one_shot_body.hpp"
+#include "papayafall/platform/outbound/one_shot_body.hpp"
 
 #include <QNetworkProxy>
 #include <QNetworkRequest>
