--- /dev/null
+++ b/packages/cli/include/papayafall/cli/commands/host_revisions.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "papayafall/core/values/identifiers.hpp"
+#include "papayafall/core/values/time.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace papayafall {
+
+/// Revision that an entry host has in force.
+struct host_revision {
+    std::string url;
+    std::optional<revision_id> revision; ///< empty where the host did not answer
+
+    auto operator<=>(const host_revision&) const = default;
+};
+
+/// Asks entry hosts for their status until all have `wanted` or a higher revision in force.
+/// @param urls base URLs of the hosts
+/// @return the last answer of each host, in the order of `urls`
+std::vector<host_revision> wait_for_revision(const std::vector<std::string>& urls,
+                                             revision_id wanted, time_point deadline,
+                                             const clock_source& clock);
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/include/papayafall/cli/commands/operator_options.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "papayafall/core/values/host.hpp"
+#include "papayafall/platform/http/http_key_value_store.hpp"
+#include "papayafall/platform/operators/change_log.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <memory>
+#include <string>
+
+namespace papayafall {
+
+/// Options that every operators' command has.
+struct operator_options {
+    std::string platform_url = "http://127.0.0.1:8500";
+    std::string author;
+    std::string output = "table";
+
+    /// Adds `--platform`, `--operator` and `--output` to `app`.
+    void attach(CLI::App& app);
+
+    bool wants_json() const noexcept { return output == "json"; }
+
+    /// Name of the operator. @throws configuration_error when none was given
+    operator_name named_operator() const;
+};
+
+/// The platform as an operators' command uses it.
+class operator_connection {
+  public:
+    /// @throws configuration_error when the address is not an http URL
+    explicit operator_connection(const operator_options& options);
+
+    change_log& changes() noexcept { return changes_; }
+
+    key_value_store& store() noexcept { return store_; }
+
+    const clock_source& clock() const noexcept { return clock_; }
+
+  private:
+    system_clock_source clock_;
+    http_key_value_store store_;
+    change_log changes_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/include/papayafall/cli/commands/plan_command.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "papayafall/cli/command.hpp"
+#include "papayafall/cli/commands/operator_options.hpp"
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace papayafall {
+
+/// `papayafall plan FILE`: shows what an intent would change, and keeps the plan.
+class plan_command : public command {
+  public:
+    explicit plan_command(std::ostream& out) : out_(out) {}
+
+    CLI::App* attach(CLI::App& app) override;
+    exit_code run() override;
+
+  private:
+    plan_observations observe(operator_connection& connection) const;
+
+    std::ostream& out_;
+    operator_options options_;
+    std::string file_;
+    std::vector<std::string> run_times_;
+};
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/src/commands/operator_options.cpp
@@ -0,0 +1,50 @@
+#include "papayafall/cli/commands/operator_options.hpp"
+
+#include <QUrl>
+
+namespace papayafall {
+
+namespace {
+
+constexpr int default_port = 8500;
+
+http_platform_options parse_platform(const std::string& text)
+{
+    const QUrl url(QString::fromStdString(text), QUrl::StrictMode);
+    if (!url.isValid() || url.scheme() != "http" || url.host().isEmpty()) {
+        throw configuration_error(error_id::invalid_settings, "/platform",
+                                  "a URL like http://127.0.0.1:8500 is expected");
+    }
+    return {
+        .address = {url.host().toStdString(), static_cast<std::uint16_t>(url.port(default_port))}};
+}
+
+} // namespace
+
+void operator_options::attach(CLI::App& app)
+{
+    app.add_option("--platform", platform_url, "URL of the platform's key-value service")
+        ->envname("PAPAYAFALL_PLATFORM")
+        ->capture_default_str();
+    app.add_option("--operator", author, "your name, for the audit trail")
+        ->envname("PAPAYAFALL_OPERATOR");
+    app.add_option("--output", output, "form of the output")
+        ->check(CLI::IsMember({"json", "table"}))
+        ->capture_default_str();
+}
+
+operator_name operator_options::named_operator() const
+{
+    if (author.empty()) {
+        throw configuration_error(error_id::invalid_settings, "/operator",
+                                  "the audit trail needs your name: --operator NAME");
+    }
+    return operator_name(author);
+}
+
+operator_connection::operator_connection(const operator_options& options)
+    : store_(parse_platform(options.platform_url), clock_), changes_(store_, clock_)
+{
+}
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/cli/src/commands/plan_command.cpp
@@ -0,0 +1,90 @@
+#include "papayafall/cli/commands/plan_command.hpp"
+
+#include "plan_output.hpp"
+
+#include "papayafall/platform/hosts/stored_host_list.hpp"
+#include "papayafall/platform/store/await.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace papayafall {
+
+namespace {
+
+intent_document read_intent(const std::string& path)
+{
+    const std::ifstream in(path);
+    if (!in) {
+        throw configuration_error(error_id::invalid_configuration, "", path + " cannot be read");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return intent_document::parse(text.str());
+}
+
+/// Adds "service=milliseconds" to `out`.
+void add_run_time(const std::string& text, plan_observations& out)
+{
+    const std::size_t at = text.find('=');
+    std::uint32_t ms = 0;
+    const char* end = text.data() + text.size();
+    const char* begin = at == std::string::npos ? end : text.data() + at + 1;
+    const auto [last, ec] = std::from_chars(begin, end, ms);
+    if (ec != std::errc() || last != end) {
+        throw configuration_error(error_id::invalid_settings, "/run-time",
+                                  "SERVICE=MILLISECONDS is expected");
+    }
+    out.run_times[service_name(text.substr(0, at))] = std::chrono::milliseconds(ms);
+}
+
+} // namespace
+
+CLI::App* plan_command::attach(CLI::App& app)
+{
+    CLI::App* it = app.add_subcommand("plan", "Show what an intent would change");
+    options_.attach(*it);
+    it->add_option("FILE", file_, "intent, a JSON merge patch (RFC 7396)")->required();
+    it->add_option("--run-time", run_times_, "observed run time, SERVICE=MILLISECONDS");
+    it->footer("Examples:\n"
+               "  papayafall plan intent.json --operator ana\n"
+               "  papayafall plan intent.json --operator ana --run-time quote=180 --output json");
+    return it;
+}
+
+plan_observations plan_command::observe(operator_connection& connection) const
+{
+    plan_observations out;
+    for (const std::string& it : run_times_) {
+        add_run_time(it, out);
+    }
+    stored_host_list list(connection.store(), std::nullopt);
+    const auto hosts = await<host_list_snapshot>(
+        [&](const platform_reply<host_list_snapshot>& reply) { list.read(reply); });
+    std::uint64_t slots = 0;
+    for (const target_entry& it : hosts->targets) {
+        slots += it.leaving ? 0 : it.slots;
+    }
+    out.capacity_slots = slots;
+    for (const peer_entry& it : hosts->peers) {
+        out.zones.insert(it.zone);
+    }
+    return out;
+}
+
+exit_code plan_command::run()
+{
+    const operator_name author = options_.named_operator();
+    const intent_document intent = read_intent(file_);
+    operator_connection connection(options_);
+    const plan made = connection.changes().propose(author, intent, observe(connection));
+    if (options_.wants_json()) {
+        out_ << detail::encode_plan(made).dump(2) << "\n";
+        return exit_code::success;
+    }
+    detail::print_plan(out_, made);
+    return exit_code::success;
+}
+
+} // namespace papayafall
