--- a/packages/cli/src/commands/host_revisions.cpp
+++ b/packages/cli/src/commands/host_revisions.cpp
@@ -9,6 +9,7 @@
 #include <QTimer>
 
 #include <algorithm>
+#include <memory>
 
 namespace papayafall {
 
@@ -54,6 +55,7 @@
     QNetworkAccessManager manager;
     manager.setProxy(QNetworkProxy::NoProxy);
     std::vector<host_revision> out;
+    out.reserve(urls.size());
     for (const std::string& it : urls) {
         out.push_back({it, std::nullopt});
     }
