--- a/packages/daemon/src/http/caller_socket.cpp
+++ b/packages/daemon/src/http/caller_socket.cpp
@@ -71,7 +71,8 @@
 void caller_socket::close_when_idle()
 {
     keep_alive_ = false;
-    if (phase_ == phase::idle || phase_ == phase::receiving) {
+    advance();
+    if (phase_ == phase::idle) {
         transport_->disconnectFromHost();
     }
 }
@@ -96,13 +97,13 @@
 
 qint64 caller_socket::bytesAvailable() const
 {
-    return QIODevice::bytesAvailable() + static_cast<qint64>(released_ - read_);
+    return QTcpSocket::bytesAvailable() + static_cast<qint64>(released_ - read_);
 }
 
 bool caller_socket::canReadLine() const
 {
     const auto unread = std::string_view(buffer_).substr(read_, released_ - read_);
-    return QIODevice::canReadLine() || unread.find('\n') != std::string_view::npos;
+    return QTcpSocket::canReadLine() || unread.find('\n') != std::string_view::npos;
 }
 
 void caller_socket::disconnectFromHost()
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,68 @@
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/logging/log.hpp"
+#include "papayafall/daemon/process/dispatcher_process.hpp"
+#include "papayafall/daemon/process/signal_watcher.hpp"
+#include "papayafall/wire/settings/settings.hpp"
+
+#include <CLI/CLI.hpp>
+#include <QCoreApplication>
+
+#include <iostream>
+#include <string>
+
+namespace {
+
+using namespace papayafall;
+
+// Exit codes, as documented in docs/OPERATIONS.md.
+constexpr int exit_success = 0;
+constexpr int exit_settings = 2;
+constexpr int exit_fault = 70;
+
+int serve(const settings& wanted, int argc, char** argv)
+{
+    QCoreApplication application(argc, argv);
+    open_log(wanted->log);
+    dispatcher_process process(wanted, [](process_end reason) {
+        const int code = reason == process_end::stopped ? exit_success : exit_fault;
+        QMetaObject::invokeMethod(
+            qApp, [code] { QCoreApplication::exit(code); }, Qt::QueuedConnection);
+    });
+    const signal_watcher signals({
+        .stop = [&process] { process.request_shutdown(); },
+        .reload = [&process] { process.reload(); },
+    });
+    process.start();
+    const int code = QCoreApplication::exec();
+    process.stop();
+    write_log(log_level::info, "process ended", {{"code", static_cast<std::uint64_t>(code)}});
+    return code;
+}
+
+} // namespace
+
+/// The dispatcher daemon; `papayafalld --help` describes its options.
+int main(int argc, char** argv)
+{
+    CLI::App app("papayafalld: dispatcher for sub-second tasks");
+    std::string path;
+    bool check_only = false;
+    app.add_option("--settings", path, "JSON file with the settings of this host")->required();
+    app.add_flag("--check", check_only, "check the settings and exit");
+    app.set_version_flag("--version", "papayafalld 0.1.0");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        const settings wanted = load_settings(path);
+        if (check_only) {
+            std::cout << "settings of host " << wanted->host.text() << " are valid\n";
+            return exit_success;
+        }
+        return serve(wanted, argc, argv);
+    } catch (const configuration_error& ex) {
+        std::cerr << "papayafalld: " << ex.what() << '\n';
+        return exit_settings;
+    } catch (const std::exception& ex) {
+        std::cerr << "papayafalld: " << ex.what() << '\n';
+        return exit_fault;
+    }
+}
