Judge targets against the others, keep slots for short work's crest, start nothing too late

- A target is compared with the mean of the other targets, each weighing the same: one that fails everything gets most of the work, so that the zone's outcomes were mostly its own.
- Long work gets the slots that short work did not need at its last crests, within its share.
- A task leaves the queue once it cannot end in time by the low quantile of its service; admission adds the high quantile to the predicted wait.

--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -14,6 +14,7 @@
 #include "papayafall/core/state/run_time_estimate.hpp"
 #include "papayafall/core/state/seat_state.hpp"
 #include "papayafall/core/state/self_state.hpp"
+#include "papayafall/core/state/slot_demand.hpp"
 #include "papayafall/core/state/submission_state.hpp"
 #include "papayafall/core/state/target_index.hpp"
 #include "papayafall/core/state/target_state.hpp"
@@ -63,6 +64,7 @@
 
     // written by estimate_controller
     table<service_name, run_time_estimate> run_times;
+    cell<slot_demand> short_demand;
 
     // written by limit_controller
     table<service_name, service_usage> service_usages;
--- a/packages/core/include/papayafall/core/controllers/estimate_controller.hpp
+++ b/packages/core/include/papayafall/core/controllers/estimate_controller.hpp
@@ -5,7 +5,8 @@
 
 namespace papayafall {
 
-/// Learns the run times of each service from the exchanges that end at targets of this host.
+/// Learns the run times of each service from the exchanges that end at targets of this host, and
+/// how many slots short work needs.
 /// Runs before the controller that erases finished exchanges.
 class estimate_controller final : public controller {
   public:
@@ -18,6 +19,7 @@
 
   private:
     table_writer<service_name, run_time_estimate> run_times_;
+    cell_writer<slot_demand> short_demand_;
 };
 
 } // namespace papayafall
--- a/packages/core/include/papayafall/core/controllers/target_controller.hpp
+++ b/packages/core/include/papayafall/core/controllers/target_controller.hpp
@@ -27,7 +27,6 @@
                        const clock_reading& now);
     void read_heartbeat(blackboard& board, const heartbeat& beat, const clock_reading& now);
     void judge(blackboard& board, const exchange_finished& incoming, const clock_reading& now);
-    void count_outcome(const blackboard& board, bool success);
     void end_stage(blackboard& board, const target_name& target, const clock_reading& now);
     void divide(blackboard& board, const clock_reading& now);
     void replace(blackboard& board, const target_name& target, const target_state& after);
--- a/packages/core/include/papayafall/core/policies/ejection_policy.hpp
+++ b/packages/core/include/papayafall/core/policies/ejection_policy.hpp
@@ -13,7 +13,8 @@
 /// Decides whether a target gets no work for a while because of how it does what it gets.
 class ejection_policy : public policy {
   public:
-    /// Whether `target`, whose state includes its last outcome, is to be ejected now.
+    /// Whether `target`, whose state includes its last outcome, is to be ejected now; the sums
+    /// over the zone on the blackboard do not include that outcome yet.
     virtual bool should_eject(const target_state& target, const blackboard& board,
                               const clock_reading& now) const = 0;
 
--- a/packages/core/include/papayafall/core/policies/run_time_estimator.hpp
+++ b/packages/core/include/papayafall/core/policies/run_time_estimator.hpp
@@ -13,6 +13,9 @@
     /// Run time that a task of this kind takes on average.
     virtual duration expected(const work_item& work, const blackboard& board) const = 0;
 
+    /// Run time that nearly every task of this kind needs at least; zero where that is not known.
+    virtual duration low_quantile(const work_item& work, const blackboard& board) const = 0;
+
     /// Run time that few tasks of this kind pass.
     virtual duration high_quantile(const work_item& work, const blackboard& board) const = 0;
 };
@@ -21,6 +24,7 @@
 class declared_run_time final : public run_time_estimator {
   public:
     duration expected(const work_item& work, const blackboard& board) const override;
+    duration low_quantile(const work_item& work, const blackboard& board) const override;
     duration high_quantile(const work_item& work, const blackboard& board) const override;
 };
 
@@ -28,6 +32,7 @@
 class observed_run_time final : public run_time_estimator {
   public:
     duration expected(const work_item& work, const blackboard& board) const override;
+    duration low_quantile(const work_item& work, const blackboard& board) const override;
     duration high_quantile(const work_item& work, const blackboard& board) const override;
 };
 
--- a/packages/core/include/papayafall/core/policies/slot_policy.hpp
+++ b/packages/core/include/papayafall/core/policies/slot_policy.hpp
@@ -40,7 +40,8 @@
     time_point long_from(duration expected_run_time, time_point started_at) const override;
 };
 
-/// Holds long work to a share of the usable slots and keeps a smaller share for it while it waits.
+/// Holds long work to a share of the usable slots, and within it to the slots that short work did
+/// not need at its last crests; keeps a smaller share for long work while it waits.
 class long_work_share final : public slot_policy {
   public:
     /// @param most_permille   largest share of the usable slots that long work holds
@@ -52,6 +53,9 @@
     time_point long_from(duration expected_run_time, time_point started_at) const override;
 
   private:
+    /// Slots that long work may hold now.
+    std::uint32_t long_slots(const blackboard& board) const;
+
     std::uint32_t most_permille_;
     std::uint32_t least_permille_;
 };
--- a/packages/core/include/papayafall/core/state/target_state.hpp
+++ b/packages/core/include/papayafall/core/state/target_state.hpp
@@ -45,12 +45,23 @@
 /// A target as this host judges it.
 using target_state = value<target_state_fields>;
 
-/// Recent outcomes over all targets that this host dispatches to.
+/// Share of the recent attempts that the target failed, in thousandths.
+inline std::uint64_t failed_permille(const target_state& target) noexcept
+{
+    constexpr std::uint64_t permille = 1000;
+    const std::uint64_t outcomes = target->failures + target->successes;
+    return outcomes == 0 ? 0 : target->failures * permille / outcomes;
+}
+
+/// Sums over the targets that this host dispatches to. Each target weighs the same, so that one
+/// that fails fast, and so gets much work, does not look like its zone.
 struct zone_health {
-    std::uint64_t successes = 0;
-    std::uint64_t failures = 0;
-    std::uint32_t owned = 0;   ///< targets that this host dispatches to
-    std::uint32_t ejected = 0; ///< of these, those ejected or probing
+    std::uint32_t owned = 0;
+    std::uint32_t ejected = 0; ///< of the owned ones, those ejected or probing
+    /// Owned and neither ejected nor leaving; the sums are over these.
+    std::uint32_t in_service = 0;
+    std::uint64_t failed_permille = 0;
+    std::uint64_t relative_run_time = 0;
 
     auto operator<=>(const zone_health&) const = default;
 };
--- a/packages/core/src/controllers/estimate_controller.cpp
+++ b/packages/core/src/controllers/estimate_controller.cpp
@@ -1,10 +1,14 @@
 #include "papayafall/core/controllers/estimate_controller.hpp"
 
+#include <algorithm>
 #include <variant>
 
 namespace papayafall {
 
-estimate_controller::estimate_controller(blackboard& board) : run_times_(board.run_times.claim()) {}
+estimate_controller::estimate_controller(blackboard& board)
+    : run_times_(board.run_times.claim()), short_demand_(board.short_demand.claim())
+{
+}
 
 void estimate_controller::on_event(blackboard& board, const event& incoming,
                                    const clock_reading& now)
@@ -24,6 +28,14 @@
                    (before == nullptr ? run_time_estimate() : *before).with_observed(run_time));
 }
 
-void estimate_controller::on_tick(blackboard& /*board*/, const clock_reading& /*now*/) {}
+void estimate_controller::on_tick(blackboard& board, const clock_reading& now)
+{
+    if (now.steady < board.short_demand->next_look()) {
+        return;
+    }
+    const slot_totals& totals = board.totals.get();
+    const std::uint32_t wanted = totals.short_running + board.waiting->tasks(0);
+    short_demand_.put(board.short_demand->observed(std::min(wanted, totals.usable), now.steady));
+}
 
 } // namespace papayafall
--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -66,6 +66,16 @@
     };
 }
 
+/// Instant from which the task cannot end before its deadline any more.
+time_point latest_start(const work_item& work, const run_time_estimator& run_times,
+                        const blackboard& board)
+{
+    if (work->deadline == no_deadline) {
+        return no_deadline;
+    }
+    return work->deadline - run_times.low_quantile(work, board);
+}
+
 time_point with_grace(time_point deadline, duration grace)
 {
     return deadline > no_deadline - grace ? no_deadline : deadline + grace;
@@ -236,7 +246,7 @@
     scheduling_numbers numbers = board.scheduling_counters.get();
     const queue_rank rank = policies_.order->rank(work, numbers.next_sequence++, board, now);
     numbers_.put(numbers);
-    queue_.put(rank, work, work->work->deadline);
+    queue_.put(rank, work, latest_start(work->work, *policies_.run_times, board));
     queued_.put(work->owner, rank);
     waiting_.put(board.waiting.get().with_added(rank, work));
 }
--- a/packages/core/src/controllers/target_controller.cpp
+++ b/packages/core/src/controllers/target_controller.cpp
@@ -16,7 +16,6 @@
 constexpr duration division_period = std::chrono::milliseconds(100);
 /// Lists in a row, each without most of the known targets, after which such a list is believed.
 constexpr std::uint32_t most_doubtful_lists = 3;
-constexpr std::uint64_t most_zone_outcomes = 2000;
 constexpr duration removal_period = std::chrono::seconds(1);
 constexpr std::uint16_t first_server_error = 500;
 constexpr std::int64_t permille = 1000;
@@ -26,6 +25,41 @@
     return target->stage == target_stage::ejected || target->stage == target_stage::probing;
 }
 
+/// What one target contributes to the sums over the zone.
+zone_health contribution(const target_state& target)
+{
+    if (!target->owned) {
+        return zone_health{};
+    }
+    if (is_ejected(target) || target->stage == target_stage::leaving) {
+        return zone_health{.owned = 1, .ejected = is_ejected(target) ? 1U : 0U};
+    }
+    return zone_health{.owned = 1,
+                       .in_service = 1,
+                       .failed_permille = failed_permille(target),
+                       .relative_run_time = target->relative_run_time};
+}
+
+zone_health with_target(const zone_health& sums, const target_state& target)
+{
+    const zone_health own = contribution(target);
+    return zone_health{.owned = sums.owned + own.owned,
+                       .ejected = sums.ejected + own.ejected,
+                       .in_service = sums.in_service + own.in_service,
+                       .failed_permille = sums.failed_permille + own.failed_permille,
+                       .relative_run_time = sums.relative_run_time + own.relative_run_time};
+}
+
+zone_health without_target(const zone_health& sums, const target_state& target)
+{
+    const zone_health own = contribution(target);
+    return zone_health{.owned = sums.owned - own.owned,
+                       .ejected = sums.ejected - own.ejected,
+                       .in_service = sums.in_service - own.in_service,
+                       .failed_permille = sums.failed_permille - own.failed_permille,
+                       .relative_run_time = sums.relative_run_time - own.relative_run_time};
+}
+
 bool changes_index(const target_state& before, const target_state& after)
 {
     return before->owned != after->owned || before->usable_slots != after->usable_slots ||
@@ -263,7 +297,6 @@
         return;
     }
     const bool success = result == verdict::success;
-    count_outcome(board, success);
     const target_state after = success
                                    ? after_success(before, relative_run_time(exchange, now), now)
                                    : after_failure(before);
@@ -276,17 +309,6 @@
     replace(board, *target, ejected ? as_ejected(after, ejection_->probe_at(after, now)) : after);
 }
 
-void target_controller::count_outcome(const blackboard& board, bool success)
-{
-    zone_health health = board.health.get();
-    if (health.successes + health.failures >= most_zone_outcomes) {
-        health.successes /= 2;
-        health.failures /= 2;
-    }
-    ++(success ? health.successes : health.failures);
-    health_.put(health);
-}
-
 void target_controller::end_stage(blackboard& board, const target_name& target,
                                   const clock_reading& now)
 {
@@ -335,16 +357,12 @@
                                 const target_state& after)
 {
     const target_state* known = board.targets.find(target);
+    const bool changed = known == nullptr || changes_index(*known, after);
     zone_health health = board.health.get();
-    bool changed = true;
     if (known != nullptr) {
-        health.owned -= (*known)->owned ? 1U : 0U;
-        health.ejected -= (*known)->owned && is_ejected(*known) ? 1U : 0U;
-        changed = changes_index(*known, after);
+        health = without_target(health, *known);
     }
-    health.owned += after->owned ? 1U : 0U;
-    health.ejected += after->owned && is_ejected(after) ? 1U : 0U;
-    health_.put(health);
+    health_.put(with_target(health, after));
     targets_.put(target, after, after->stage_until);
     if (changed) {
         board.raised.post(target_changed{target});
@@ -353,11 +371,7 @@
 
 void target_controller::erase(blackboard& board, const target_name& target)
 {
-    const target_state before = *board.targets.find(target);
-    zone_health health = board.health.get();
-    health.owned -= before->owned ? 1U : 0U;
-    health.ejected -= before->owned && is_ejected(before) ? 1U : 0U;
-    health_.put(health);
+    health_.put(without_target(board.health.get(), *board.targets.find(target)));
     targets_.erase(target);
     board.raised.post(target_changed{target});
 }
--- a/packages/core/src/controllers/target_transitions.cpp
+++ b/packages/core/src/controllers/target_transitions.cpp
@@ -70,7 +70,6 @@
             it.successes = 0;
             it.failures = 0;
             it.consecutive_failures = 0;
-            it.relative_run_time = target_state_fields{}.relative_run_time;
         });
 }
 
--- a/packages/core/src/policies/admission_policy.cpp
+++ b/packages/core/src/policies/admission_policy.cpp
@@ -37,6 +37,7 @@
             .declared_run_time =
                 content->tasks.empty() ? std::nullopt : content->tasks.front().declared_run_time});
         expected_ = run_times.expected(sample, board);
+        high_ = run_times.high_quantile(sample, board);
     }
 
     std::optional<failure> run()
@@ -177,7 +178,7 @@
         if (content_->deadline == no_deadline) {
             return std::nullopt;
         }
-        const time_point done_at = now_ + predicted_wait() + expected_;
+        const time_point done_at = now_ + predicted_wait() + high_;
         if (done_at <= content_->deadline) {
             return std::nullopt;
         }
@@ -219,6 +220,7 @@
     std::uint32_t tasks_;
     std::uint32_t spare_;
     duration expected_{};
+    duration high_{};
     service_usage service_usage_;
     team_usage team_usage_;
 };
--- a/packages/core/src/policies/ejection_policy.cpp
+++ b/packages/core/src/policies/ejection_policy.cpp
@@ -13,36 +13,43 @@
 /// Outcomes from which on a share of them says something about the target.
 constexpr std::uint64_t enough_outcomes = 20;
 constexpr std::uint64_t most_failed_permille = 500;
-/// A target fails more than its zone when its share of failures is this many times the zone's.
+/// A target is worse than its zone when it is this many times worse than the mean of the others.
 constexpr std::uint64_t outlier_factor = 2;
-/// Run time against what is expected, in thousandths, from which a target counts as a straggler.
-constexpr std::uint32_t straggler_run_time = 4000;
+/// A target is a straggler when it is this many times slower than the mean of the others.
+constexpr std::uint64_t straggler_factor = 4;
 constexpr duration first_ejection = std::chrono::seconds(1);
 constexpr std::uint32_t most_doublings = 6;
 
-std::uint64_t failed_permille(std::uint64_t failures, std::uint64_t successes)
+/// Mean over the other targets in service; `sum` includes `own`.
+std::uint64_t mean_of_others(std::uint64_t sum, std::uint64_t own, std::uint32_t in_service)
 {
-    const std::uint64_t sum = failures + successes;
-    return sum == 0 ? 0 : failures * permille / sum;
+    return in_service < 2 ? 0 : (sum - std::min(sum, own)) / (in_service - 1);
 }
 
-bool fails_more_than_zone(const target_state& target, const zone_health& zone)
+bool has_enough_outcomes(const target_state& target)
 {
-    const std::uint64_t others = failed_permille(zone.failures, zone.successes);
+    return target->failures + target->successes >= enough_outcomes;
+}
+
+bool fails_more_than_zone(const target_state& target, const target_state& counted,
+                          const zone_health& zone)
+{
+    const std::uint64_t others =
+        mean_of_others(zone.failed_permille, failed_permille(counted), zone.in_service);
     if (target->consecutive_failures >= most_consecutive_failures) {
         return others <= most_failed_permille;
     }
-    if (target->failures + target->successes < enough_outcomes) {
-        return false;
-    }
-    const std::uint64_t own = failed_permille(target->failures, target->successes);
-    return own >= most_failed_permille && own >= others * outlier_factor;
+    const std::uint64_t own = failed_permille(target);
+    return has_enough_outcomes(target) && own >= most_failed_permille &&
+           own >= others * outlier_factor;
 }
 
-bool is_straggler(const target_state& target)
+bool is_straggler(const target_state& target, const target_state& counted, const zone_health& zone)
 {
-    return target->failures + target->successes >= enough_outcomes &&
-           target->relative_run_time >= straggler_run_time;
+    const std::uint64_t others =
+        mean_of_others(zone.relative_run_time, counted->relative_run_time, zone.in_service);
+    return has_enough_outcomes(target) && others > 0 &&
+           target->relative_run_time >= others * straggler_factor;
 }
 
 } // namespace
@@ -74,7 +81,11 @@
     if (zone.ejected >= std::max<std::uint64_t>(share, 1)) {
         return false;
     }
-    return fails_more_than_zone(target, zone) || is_straggler(target);
+    const target_state* counted = board.targets.find(target->entry.name);
+    if (counted == nullptr) {
+        return false;
+    }
+    return fails_more_than_zone(target, *counted, zone) || is_straggler(target, *counted, zone);
 }
 
 time_point zone_outlier_ejection::probe_at(const target_state& target,
--- a/packages/core/src/policies/run_time_estimator.cpp
+++ b/packages/core/src/policies/run_time_estimator.cpp
@@ -13,6 +13,7 @@
 constexpr float enough_observations = 20;
 /// Observations that a declared run time weighs as much as.
 constexpr float weight_of_prior = 1;
+constexpr float low = 0.1F;
 constexpr float high = 0.95F;
 /// A declared run time is far off: the high quantile allows for this factor.
 constexpr int declared_margin = 3;
@@ -36,6 +37,12 @@
     return prior(work);
 }
 
+duration declared_run_time::low_quantile(const work_item& /*work*/,
+                                         const blackboard& /*board*/) const
+{
+    return duration{};
+}
+
 duration declared_run_time::high_quantile(const work_item& work, const blackboard& /*board*/) const
 {
     return prior(work) * declared_margin;
@@ -53,6 +60,15 @@
     return weighted(observed->mean(), observed->weight(), prior(work));
 }
 
+duration observed_run_time::low_quantile(const work_item& work, const blackboard& board) const
+{
+    const run_time_estimate* observed = board.run_times.find(work->service);
+    if (observed == nullptr || observed->weight() < enough_observations) {
+        return duration{};
+    }
+    return observed->quantile(low);
+}
+
 duration observed_run_time::high_quantile(const work_item& work, const blackboard& board) const
 {
     const run_time_estimate* observed = board.run_times.find(work->service);
--- a/packages/core/src/policies/slot_policy.cpp
+++ b/packages/core/src/policies/slot_policy.cpp
@@ -41,7 +41,7 @@
 {
     const slot_totals& totals = board.totals.get();
     if (is_long(work->expected_run_time)) {
-        return totals.long_running < share_of(totals.usable, most_permille_);
+        return totals.long_running < long_slots(board);
     }
     if (board.waiting->tasks(long_lane) == 0) {
         return true;
@@ -53,6 +53,14 @@
     return totals.free > kept - totals.long_running;
 }
 
+std::uint32_t long_work_share::long_slots(const blackboard& board) const
+{
+    const std::uint32_t usable = board.totals->usable;
+    const std::uint32_t kept = board.short_demand->slots_to_keep();
+    const std::uint32_t left = usable - std::min(usable, kept);
+    return std::clamp(left, share_of(usable, least_permille_), share_of(usable, most_permille_));
+}
+
 time_point long_work_share::long_from(duration expected_run_time, time_point started_at) const
 {
     return is_long(expected_run_time) ? started_at : started_at + long_run_time;
--- a/packages/core/tests/bench/policy-comparison.cpp
+++ b/packages/core/tests/bench/policy-comparison.cpp
@@ -54,6 +54,21 @@
     }
 };
 
+/// Share of the long requests with a useful answer.
+double useful_long_share(const run_result& result)
+{
+    double offered = 0;
+    double useful = 0;
+    for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
+        if (!result.arrivals[n].service->long_work) {
+            continue;
+        }
+        offered += 1;
+        useful += result.outcomes[n].useful ? 1 : 0;
+    }
+    return useful / offered;
+}
+
 part collect(const run_result& result, const load_shape& shape, bool crest)
 {
     part collected;
@@ -77,17 +92,21 @@
     return collected;
 }
 
-/// Slot time of the useful answers that came in crests, over the capacity of these crests.
+/// Slot time within crests that went into useful answers, over the capacity of these crests.
 double useful_share(const run_result& result, const load_shape& shape, std::uint32_t slots)
 {
     double useful = 0;
     for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
         const request_outcome& outcome = result.outcomes[n];
-        if (!outcome.useful || outcome.answered_at < warm_from ||
-            !shape.is_crest(outcome.answered_at)) {
+        if (!outcome.useful) {
             continue;
         }
-        useful += seconds(result.arrivals[n].run_time);
+        const time_point started_at = outcome.answered_at - result.arrivals[n].run_time;
+        for (time_point it = warm_from; it.time_since_epoch() < shape.end; it += shape.period) {
+            const time_point from = std::max(it + shape.period - shape.crest, started_at);
+            const time_point to = std::min(it + shape.period, outcome.answered_at);
+            useful += std::max(0.0, seconds(to - from));
+        }
     }
     const auto crests = (shape.end - warm_from.time_since_epoch()) / shape.period;
     return useful / (static_cast<double>(crests) * seconds(shape.crest) * slots);
@@ -126,6 +145,9 @@
         std::printf("  %-18s wasted messages per useful one %.4f; useful work at the crest %.3f "
                     "of capacity\n",
                     it.name.c_str(), wasted, useful_share(result, shape, plan.slots()));
+        if (shape.with_long_work) {
+            std::printf("    long   answered in time %.3f\n", useful_long_share(result));
+        }
         print_part("calm", collect(result, shape, false));
         print_part("crest", collect(result, shape, true));
     }
@@ -137,7 +159,9 @@
 {
     compare("short work, crest at 0.8 of capacity", {}, {});
     compare("short work, crest at 0.9 of capacity", {.calm_load = 0.225, .crest_load = 0.9}, {});
-    compare("short work at 0.15 and 0.6 with long work at 0.35 of capacity",
+    compare("short work at 0.15 and 0.6 of capacity, no long work",
+            {.calm_load = 0.15, .crest_load = 0.6}, {});
+    compare("short work at 0.15 and 0.6 of capacity, with bursts of long work of 0.2 in the mean",
             {.calm_load = 0.15, .crest_load = 0.6, .with_long_work = true}, {});
     compare("short work, crest at 1.6 of capacity", {.calm_load = 0.4, .crest_load = 1.6}, {});
     compare("short work, crest at 0.6 of capacity, one target of 8 fails everything",
--- a/packages/core/tests/bench/workload.hpp
+++ b/packages/core/tests/bench/workload.hpp
@@ -30,7 +30,7 @@
     double crest_load = 0.8;
     duration period = std::chrono::seconds(20);
     duration crest = std::chrono::seconds(8);
-    duration end = std::chrono::seconds(200);
+    duration end = std::chrono::seconds(400);
     bool with_long_work = false;
 
     bool is_crest(time_point at) const { return at.time_since_epoch() % period >= period - crest; }
@@ -54,7 +54,7 @@
     static const std::vector<service_profile> all{
         {service_name("stock"), milliseconds(50), milliseconds(150), seconds(1), 0.3},
         {service_name("quote"), milliseconds(100), milliseconds(700), seconds(2), 0.7},
-        {service_name("layout"), seconds(10), seconds(30), seconds(120), 0.35, true},
+        {service_name("layout"), seconds(10), seconds(30), seconds(120), 0.2, true},
     };
     return all;
 }
@@ -71,8 +71,9 @@
             continue;
         }
         const double per_load = it.weight * slots / it.mean_seconds();
-        // long work arrives evenly: it does not follow the swing of the short work
-        const double peak = it.long_work ? per_load : per_load * shape.crest_load;
+        // long work arrives in bursts of 0.6 tasks a slot, which do not follow the swing
+        const auto burst = it.long_work ? static_cast<int>(0.6 * slots) : 1;
+        const double peak = it.long_work ? per_load / burst : per_load * shape.crest_load;
         double seconds = 0;
         while (true) {
             seconds -= std::log(1 - uniform(random)) / peak;
@@ -83,15 +84,17 @@
             if (!it.long_work && uniform(random) > shape.load_at(at) / shape.crest_load) {
                 continue;
             }
-            const auto spread = static_cast<double>((it.most - it.least).count());
-            const duration run_time =
-                it.least + duration(static_cast<duration::rep>(uniform(random) * spread));
-            // declarations are off by a factor of up to ten in both directions
-            const double error = std::pow(10.0, 2 * uniform(random) - 1);
-            const duration declared(
-                static_cast<duration::rep>(static_cast<double>(run_time.count()) * error));
-            arrivals.push_back(
-                {at, &it, run_time, declared, team_name(uniform(random) < 0.5 ? "desk" : "web")});
+            for (int n = 0; n < burst; ++n) {
+                const auto spread = static_cast<double>((it.most - it.least).count());
+                const duration run_time =
+                    it.least + duration(static_cast<duration::rep>(uniform(random) * spread));
+                // declarations are off by a factor of up to ten in both directions
+                const double error = std::pow(10.0, 2 * uniform(random) - 1);
+                const duration declared(
+                    static_cast<duration::rep>(static_cast<double>(run_time.count()) * error));
+                arrivals.push_back({at, &it, run_time, declared,
+                                    team_name(uniform(random) < 0.5 ? "desk" : "web")});
+            }
         }
     }
     std::sort(arrivals.begin(), arrivals.end(),
