--- a/packages/core/include/papayafall/core/policies/run_time_estimator.hpp
+++ b/packages/core/include/papayafall/core/policies/run_time_estimator.hpp
@@ -16,7 +16,7 @@
     /// Run time that nearly every task of this kind needs at least; zero where that is not known.
     virtual duration low_quantile(const work_item& work, const blackboard& board) const = 0;
 
-    /// Run time that few tasks of this kind pass.
+    /// Run time that few tasks of this kind pass; zero where that is not known.
     virtual duration high_quantile(const work_item& work, const blackboard& board) const = 0;
 };
 
--- a/packages/core/include/papayafall/core/state/backlog.hpp
+++ b/packages/core/include/papayafall/core/state/backlog.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/values/request.hpp"
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 
--- a/packages/core/include/papayafall/core/state/retry_budget.hpp
+++ b/packages/core/include/papayafall/core/state/retry_budget.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 
 namespace papayafall {
--- a/packages/core/include/papayafall/core/state/run_time_estimate.hpp
+++ b/packages/core/include/papayafall/core/state/run_time_estimate.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/values/value.hpp"
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 
--- a/packages/core/include/papayafall/core/state/slot_demand.hpp
+++ b/packages/core/include/papayafall/core/state/slot_demand.hpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/values/time.hpp"
 
+#include <compare>
 #include <cstdint>
 
 namespace papayafall {
--- a/packages/core/include/papayafall/core/state/target_index.hpp
+++ b/packages/core/include/papayafall/core/state/target_index.hpp
@@ -3,6 +3,7 @@
 #include "papayafall/core/state/queue_state.hpp"
 #include "papayafall/core/values/identifiers.hpp"
 
+#include <compare>
 #include <cstdint>
 
 namespace papayafall {
--- a/packages/core/include/papayafall/core/state/usage.hpp
+++ b/packages/core/include/papayafall/core/state/usage.hpp
@@ -3,6 +3,7 @@
 #include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
 
+#include <compare>
 #include <cstdint>
 
 namespace papayafall {
--- a/packages/core/src/policies/run_time_estimator.cpp
+++ b/packages/core/src/policies/run_time_estimator.cpp
@@ -30,6 +30,16 @@
     return duration(static_cast<duration::rep>(sum / (weight + weight_of_prior)));
 }
 
+/// Quantile of the observed run times, or zero where there are too few of them.
+duration proven_quantile(const work_item& work, const blackboard& board, float share)
+{
+    const run_time_estimate* observed = board.run_times.find(work->service);
+    if (observed == nullptr || observed->weight() < enough_observations) {
+        return duration{};
+    }
+    return observed->quantile(share);
+}
+
 } // namespace
 
 duration declared_run_time::expected(const work_item& work, const blackboard& /*board*/) const
@@ -62,23 +72,12 @@
 
 duration observed_run_time::low_quantile(const work_item& work, const blackboard& board) const
 {
-    const run_time_estimate* observed = board.run_times.find(work->service);
-    if (observed == nullptr || observed->weight() < enough_observations) {
-        return duration{};
-    }
-    return observed->quantile(low);
+    return proven_quantile(work, board, low);
 }
 
 duration observed_run_time::high_quantile(const work_item& work, const blackboard& board) const
 {
-    const run_time_estimate* observed = board.run_times.find(work->service);
-    if (observed == nullptr) {
-        return prior(work) * declared_margin;
-    }
-    if (observed->weight() >= enough_observations) {
-        return observed->quantile(high);
-    }
-    return weighted(observed->quantile(high), observed->weight(), prior(work) * declared_margin);
+    return proven_quantile(work, board, high);
 }
 
 } // namespace papayafall
--- a/packages/core/tests/bench/policy-comparison.cpp
+++ b/packages/core/tests/bench/policy-comparison.cpp
@@ -54,13 +54,16 @@
     }
 };
 
-/// Share of the long requests with a useful answer.
-double useful_long_share(const run_result& result)
+/// Share of the requests of one service with a useful answer; at crests for short work.
+double useful_share_of(const run_result& result, const load_shape& shape,
+                       const service_profile& service)
 {
     double offered = 0;
     double useful = 0;
     for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
-        if (!result.arrivals[n].service->long_work) {
+        const arrival& from = result.arrivals[n];
+        if (from.service != &service || from.at < warm_from ||
+            (!service.long_work && !shape.is_crest(from.at))) {
             continue;
         }
         offered += 1;
@@ -69,6 +72,18 @@
     return useful / offered;
 }
 
+void print_services(const run_result& result, const load_shape& shape)
+{
+    std::printf("    answered in time:");
+    for (const service_profile& it : profiles()) {
+        if (it.long_work && !shape.with_long_work) {
+            continue;
+        }
+        std::printf(" %s %.3f", it.name.text().c_str(), useful_share_of(result, shape, it));
+    }
+    std::printf("\n");
+}
+
 part collect(const run_result& result, const load_shape& shape, bool crest)
 {
     part collected;
@@ -145,9 +160,7 @@
         std::printf("  %-18s wasted messages per useful one %.4f; useful work at the crest %.3f "
                     "of capacity\n",
                     it.name.c_str(), wasted, useful_share(result, shape, plan.slots()));
-        if (shape.with_long_work) {
-            std::printf("    long   answered in time %.3f\n", useful_long_share(result));
-        }
+        print_services(result, shape);
         print_part("calm", collect(result, shape, false));
         print_part("crest", collect(result, shape, true));
     }
