--- a/packages/core/src/controllers/target_controller.cpp
+++ b/packages/core/src/controllers/target_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/controllers/target_transitions.hpp"
 #include "papayafall/core/membership/live_hosts.hpp"
+#include "papayafall/core/policies/rendezvous_hash.hpp"
 
 #include <algorithm>
 #include <set>
@@ -140,8 +141,8 @@
 
 bool owns(const blackboard& board, const target_name& target)
 {
-    const std::vector<host_name>& hosts = board.division->hosts;
-    return !hosts.empty() && rendezvous_choice(hosts, target.text()) == board.self.get()->host;
+    const host_name* owner = rendezvous_owner(board.division->hosts, target.text());
+    return owner != nullptr && *owner == board.self.get()->host;
 }
 
 target_state with_owned(const target_state& target, bool owned)
