Admit by the order of service, and plan on a part of the slots

The queue orders by the instant by which a task has to start, and admission checks that instant for the request and for all that waits behind it: a service with a short time limit was refused while the queue of one with a long limit was full.

--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -91,6 +91,7 @@
     table<target_name, slot_usage> slots;
     table<exchange_id, time_point> overrun_checks; ///< instant from which each counts as long
     cell<backlog> waiting;                         ///< sums over `queue`
+    table<backlog_rank, class_backlog> waiting_by_start;
     cell<retry_budget> retries;
     table<peer_id, delegation_state> delegations;
 
--- a/packages/core/include/papayafall/core/controllers/scheduling_controller.hpp
+++ b/packages/core/include/papayafall/core/controllers/scheduling_controller.hpp
@@ -50,6 +50,8 @@
 
     void push(blackboard& board, const queued_work& work, const clock_reading& now);
     void remove(blackboard& board, const queue_rank& rank);
+    void count_waiting(blackboard& board, const queue_rank& rank, const queued_work& work,
+                       bool added);
     void expire(blackboard& board, const clock_reading& now);
     void mark_overrun(blackboard& board, time_point now);
     void start_waiting(blackboard& board, const clock_reading& now);
@@ -70,6 +72,7 @@
     table_writer<work_owner, exchange_id> running_;
     table_writer<target_name, slot_usage> slots_;
     cell_writer<backlog> waiting_;
+    table_writer<backlog_rank, class_backlog> waiting_by_start_;
     cell_writer<retry_budget> retries_;
     table_writer<peer_id, delegation_state> delegations_;
     table_writer<exchange_id, time_point> overrun_checks_;
--- a/packages/core/include/papayafall/core/state/queue_state.hpp
+++ b/packages/core/include/papayafall/core/state/queue_state.hpp
@@ -28,6 +28,8 @@
     bool uncertain = false;
     /// Run time that was expected when the work was queued.
     duration expected_run_time{};
+    /// Instant by which the work has to start to be likely to end in time.
+    time_point start_by = no_deadline;
 
     auto operator<=>(const queued_work_fields&) const = default;
 };
--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -66,6 +66,16 @@
     };
 }
 
+/// Instant by which the task has to start to be likely to end before its deadline.
+time_point start_by(const work_item& work, const run_time_estimator& run_times,
+                    const blackboard& board)
+{
+    if (work->deadline == no_deadline) {
+        return no_deadline;
+    }
+    return work->deadline - run_times.high_quantile(work, board);
+}
+
 /// Instant from which the task cannot end before its deadline any more.
 time_point latest_start(const work_item& work, const run_time_estimator& run_times,
                         const blackboard& board)
@@ -87,7 +97,8 @@
     : policies_(std::move(policies)), numbers_(board.scheduling_counters.claim()),
       queue_(board.queue.claim()), queued_(board.queued.claim()),
       exchanges_(board.exchanges.claim()), running_(board.running.claim()),
-      slots_(board.slots.claim()), waiting_(board.waiting.claim()), retries_(board.retries.claim()),
+      slots_(board.slots.claim()), waiting_(board.waiting.claim()),
+      waiting_by_start_(board.waiting_by_start.claim()), retries_(board.retries.claim()),
       delegations_(board.delegations.claim()), overrun_checks_(board.overrun_checks.claim()),
       index_(board)
 {
@@ -132,6 +143,7 @@
                  .owner = home_owner{.submission = accepted.submission, .index = index},
                  .work = work,
                  .expected_run_time = policies_.run_times->expected(work, board),
+                 .start_by = start_by(work, *policies_.run_times, board),
              },
              now);
         ++index;
@@ -225,6 +237,7 @@
              .attempts = ended->attempts,
              .uncertain = uncertain,
              .expected_run_time = ended->expected_run_time,
+             .start_by = start_by(ended->work, *policies_.run_times, board),
          },
          now);
 }
@@ -248,7 +261,7 @@
     numbers_.put(numbers);
     queue_.put(rank, work, latest_start(work->work, *policies_.run_times, board));
     queued_.put(work->owner, rank);
-    waiting_.put(board.waiting.get().with_added(rank, work));
+    count_waiting(board, rank, work, true);
 }
 
 void scheduling_controller::remove(blackboard& board, const queue_rank& rank)
@@ -256,7 +269,25 @@
     const queued_work work = *board.queue.find(rank);
     queue_.erase(rank);
     queued_.erase(work->owner);
-    waiting_.put(board.waiting.get().with_removed(rank, work));
+    count_waiting(board, rank, work, false);
+}
+
+void scheduling_controller::count_waiting(blackboard& board, const queue_rank& rank,
+                                          const queued_work& work, bool added)
+{
+    const backlog& before = board.waiting.get();
+    waiting_.put(added ? before.with_added(rank, work) : before.with_removed(rank, work));
+
+    const backlog_rank place = backlog_rank_of(rank, work);
+    const class_backlog* known = board.waiting_by_start.find(place);
+    class_backlog sums = known == nullptr ? class_backlog{} : *known;
+    sums.tasks += added ? 1 : -1;
+    sums.work += added ? work->expected_run_time : -work->expected_run_time;
+    if (sums.tasks == 0) {
+        waiting_by_start_.erase(place);
+    } else {
+        waiting_by_start_.put(place, sums);
+    }
 }
 
 void scheduling_controller::expire(blackboard& board, const clock_reading& now)
--- a/packages/core/src/policies/admission_policy.cpp
+++ b/packages/core/src/policies/admission_policy.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr duration retry_pause = std::chrono::seconds(1);
+constexpr std::int64_t permille = 1000;
+/// Part of the slots that a prediction counts on; the rest allows for run times above the mean.
+constexpr std::int64_t planned_permille = 700;
 
 failure refuse(error_id id, std::string detail, time_point retry_at = no_deadline)
 {
@@ -178,37 +181,72 @@
         if (content_->deadline == no_deadline) {
             return std::nullopt;
         }
-        const time_point done_at = now_ + predicted_wait() + high_;
-        if (done_at <= content_->deadline) {
+        const duration excess = predicted_excess();
+        if (excess <= duration{}) {
             return std::nullopt;
         }
         if (service_usage_.open_tasks == 0 && board_.queue.empty()) {
             return std::nullopt; // shows whether the service is still as slow as it was
         }
         return refuse(error_id::overloaded, "the predicted wait passes the deadline",
-                      now_ + (done_at - content_->deadline));
+                      now_ + excess);
     }
 
-    duration predicted_wait() const
+    /// Time by which the request, or work that waits behind it, would start too late.
+    ///
+    /// Work starts in the order of its deadlines, so that the request waits for all that has to
+    /// start before it, and delays all that may start later.
+    duration predicted_excess() const
     {
-        const slot_totals& totals = board_.totals.get();
-        const std::uint8_t lane = is_long(expected_) ? std::uint8_t{1} : std::uint8_t{0};
+        const time_point start_by = content_->deadline - high_;
+        if (board_.queue.empty() && tasks_ <= free_slots()) {
+            return now_ - start_by;
+        }
+        const std::uint8_t lane = lane_of_request();
         const auto urgency = static_cast<std::uint8_t>(content_->urgency);
-        const duration ahead = board_.waiting->work_ahead(lane, urgency);
-        const std::uint32_t free = totals.free + spare_;
-        if (ahead == duration{} && tasks_ <= free) {
-            return duration{};
-        }
-        const std::uint32_t slots = lane_slots(lane);
-        const duration pending = ahead + expected_ * tasks_;
-        return std::max(duration{}, (pending - expected_ * free) / slots);
+        const duration own = expected_ * tasks_;
+        duration ahead = board_.waiting->work_before(lane, urgency);
+        duration excess = now_ - start_by;
+        bool counted = false;
+        const backlog_rank first{.lane = lane, .urgency = urgency, .start_by = time_point::min()};
+        for (auto it = board_.waiting_by_start.lower_bound(first);
+             it != board_.waiting_by_start.end() && it->key.lane == lane &&
+             it->key.urgency == urgency;
+             ++it) {
+            if (!counted && it->key.start_by > start_by) {
+                excess = std::max(excess, excess_at(start_by, ahead + own - expected_));
+                counted = true;
+            }
+            ahead += it->value.work;
+            if (counted) {
+                excess = std::max(excess, excess_at(it->key.start_by, ahead + own));
+            }
+        }
+        if (!counted) {
+            excess = std::max(excess, excess_at(start_by, ahead + own - expected_));
+        }
+        return excess;
     }
 
+    /// Time by which `work` ends after `at` on the slots of the lane.
+    duration excess_at(time_point at, duration work) const
+    {
+        const duration waiting = work - expected_ * free_slots();
+        return waiting * permille / (lane_slots() * planned_permille) - (at - now_);
+    }
+
+    std::uint8_t lane_of_request() const
+    {
+        return is_long(expected_) ? std::uint8_t{1} : std::uint8_t{0};
+    }
+
+    std::uint32_t free_slots() const { return board_.totals->free + spare_; }
+
     /// Slots that serve the lane, at least 1.
-    std::uint32_t lane_slots(std::uint8_t lane) const
+    std::uint32_t lane_slots() const
     {
         const slot_totals& totals = board_.totals.get();
-        const std::uint32_t own = lane == 0
+        const std::uint32_t own = lane_of_request() == 0
                                       ? totals.usable - std::min(totals.usable, totals.long_running)
                                       : totals.usable / 2;
         return std::max(own + spare_, std::uint32_t{1});
--- a/packages/core/src/policies/queue_order.cpp
+++ b/packages/core/src/policies/queue_order.cpp
@@ -32,7 +32,7 @@
     return queue_rank{.lane = is_long(work->expected_run_time) ? std::uint8_t{1} : std::uint8_t{0},
                       .urgency = static_cast<std::uint8_t>(work->work->urgency),
                       .fairness = fairness_of(work->work->team, board),
-                      .deadline = work->work->deadline,
+                      .deadline = work->start_by,
                       .sequence = sequence};
 }
 
--- a/packages/core/src/state/backlog.cpp
+++ b/packages/core/src/state/backlog.cpp
@@ -25,10 +25,10 @@
     return after;
 }
 
-duration backlog::work_ahead(std::uint8_t lane, std::uint8_t urgency) const
+duration backlog::work_before(std::uint8_t lane, std::uint8_t urgency) const
 {
     duration sum{};
-    for (std::uint8_t it = 0; it <= urgency; ++it) {
+    for (std::uint8_t it = 0; it < urgency; ++it) {
         sum += classes_.at(class_of(queue_rank{.lane = lane, .urgency = it})).work;
     }
     return sum;
@@ -50,4 +50,12 @@
     return lane * urgency_count + urgency;
 }
 
+backlog_rank backlog_rank_of(const queue_rank& rank, const queued_work& work)
+{
+    const time_point start_by = work->start_by;
+    const duration past_step = start_by.time_since_epoch() % backlog_rank::start_step;
+    return backlog_rank{
+        .lane = rank.lane, .urgency = rank.urgency, .start_by = start_by - past_step};
+}
+
 } // namespace papayafall
--- a/packages/core/tests/bench/policy-comparison.cpp
+++ b/packages/core/tests/bench/policy-comparison.cpp
@@ -150,7 +150,7 @@
 {
     std::printf("%s\n", title);
     const std::vector<arrival> arrivals = make_arrivals(shape, plan.slots(), seed);
-    for (const policy_set& it : all_sets()) {
+    for (const candidate& it : all_candidates()) {
         const run_result result = simulation(it, plan, arrivals).run();
         std::size_t useful = 0;
         for (const request_outcome& outcome : result.outcomes) {
--- a/packages/core/tests/bench/simulation.hpp
+++ b/packages/core/tests/bench/simulation.hpp
@@ -1,16 +1,8 @@
 #pragma once
 
+#include "bench/candidate.hpp"
 #include "bench/fake_target.hpp"
-#include "bench/policy_set.hpp"
 #include "bench/workload.hpp"
-#include "papayafall/core/controllers/configuration_controller.hpp"
-#include "papayafall/core/controllers/estimate_controller.hpp"
-#include "papayafall/core/controllers/lifecycle_controller.hpp"
-#include "papayafall/core/controllers/limit_controller.hpp"
-#include "papayafall/core/controllers/membership_controller.hpp"
-#include "papayafall/core/controllers/submission_controller.hpp"
-#include "papayafall/core/controllers/target_controller.hpp"
-#include "papayafall/core/engine/engine.hpp"
 
 #include <map>
 #include <optional>
@@ -42,30 +34,14 @@
     std::uint64_t starts = 0;              ///< messages that carried a task to a target
 };
 
-inline std::unique_ptr<engine> make_engine(const policy_set& policies)
-{
-    const zone_name zone("zone-a");
-    auto board = std::make_unique<blackboard>(
-        self_state(self_state_fields{.host = host_name("entry-1"), .zone = zone}),
-        core_parameters());
-    std::vector<std::unique_ptr<controller>> controllers;
-    controllers.push_back(std::make_unique<lifecycle_controller>(*board));
-    controllers.push_back(std::make_unique<membership_controller>(*board));
-    controllers.push_back(std::make_unique<configuration_controller>(*board));
-    controllers.push_back(std::make_unique<target_controller>(*board, policies.ejection));
-    controllers.push_back(std::make_unique<estimate_controller>(*board));
-    controllers.push_back(
-        std::make_unique<limit_controller>(*board, policies.scheduling.run_times));
-    controllers.push_back(std::make_unique<submission_controller>(*board, policies.admission));
-    controllers.push_back(std::make_unique<scheduling_controller>(*board, policies.scheduling));
-    return std::make_unique<engine>(std::move(board), std::move(controllers));
-}
-
 /// Runs one engine with its real controllers against targets that are functions of virtual time.
 class simulation {
   public:
-    simulation(const policy_set& policies, const target_plan& plan, std::vector<arrival> arrivals)
-        : policies_(policies), plan_(plan), engine_(make_engine(policies))
+    simulation(const candidate& chosen, const target_plan& plan, std::vector<arrival> arrivals)
+        : targets_queue_(chosen.targets_queue), plan_(plan),
+          engine_(make_engine(self_state(self_state_fields{.host = host_name("entry-1"),
+                                                           .zone = zone_name("zone-a")}),
+                              core_parameters(), chosen.policies))
     {
         result_.arrivals = std::move(arrivals);
         result_.outcomes.resize(result_.arrivals.size());
@@ -134,7 +110,7 @@
             const bool fails = n < plan_.failing;
             const bool straggles = !fails && n < plan_.failing + plan_.straggling;
             targets_.try_emplace(name, plan_.slots_each, straggles ? 5.0 : 1.0, fails,
-                                 policies_.targets_queue);
+                                 targets_queue_);
             list.targets.push_back({.name = name,
                                     .zone = zone_name("zone-a"),
                                     .address = {},
@@ -221,7 +197,7 @@
         outcome.refused = !outcome.useful && now_ == from.at;
     }
 
-    policy_set policies_;
+    bool targets_queue_;
     target_plan plan_;
     std::unique_ptr<engine> engine_;
     std::map<target_name, fake_target> targets_;
