--- /dev/null
+++ b/packages/core/tests/support/engine_fixture.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "papayafall/core/engine/standard_engine.hpp"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace papayafall::test_support {
+
+/// One engine of the host `entry-1` in `zone-a`, with the service `quote` and the team `desk`.
+class engine_fixture {
+  public:
+    explicit engine_fixture(const policy_set& policies = standard_policies())
+        : engine_(make_engine(self_state(self_state_fields{.host = host_name("entry-1"),
+                                                           .zone = zone_name("zone-a")}),
+                              core_parameters(), policies))
+    {
+    }
+
+    const blackboard& board() const { return engine_->board(); }
+
+    clock_reading now() const { return {now_, wall_time{}}; }
+
+    void deliver(const event& it)
+    {
+        engine_->handle(it, now());
+        board().check_invariants();
+    }
+
+    /// Moves the clock in steps of 50 ms.
+    void pass(duration length)
+    {
+        constexpr duration step = std::chrono::milliseconds(50);
+        for (const time_point end = now_ + length; now_ < end;) {
+            now_ += step;
+            engine_->tick(now());
+        }
+        board().check_invariants();
+    }
+
+    void configure(const service_configuration& service)
+    {
+        configuration_fields fields{.revision = revision_id(++revision_)};
+        fields.services[service_name("quote")] = service;
+        fields.teams[team_name("desk")] = team_configuration{.slot_quota = 8};
+        deliver(configuration_received{fields});
+    }
+
+    static target_entry entry(int number, bool leaving = false)
+    {
+        return {.name = target_name("target-" + std::to_string(number)),
+                .zone = zone_name("zone-a"),
+                .address = {},
+                .slots = 4,
+                .leaving = leaving};
+    }
+
+    void list(const std::vector<target_entry>& targets)
+    {
+        deliver(host_list_received{host_list_snapshot(host_list_fields{.targets = targets})});
+    }
+
+    void list(int targets)
+    {
+        std::vector<target_entry> entries;
+        for (int n = 0; n < targets; ++n) {
+            entries.push_back(entry(n));
+        }
+        list(entries);
+    }
+
+    void beat(const std::string& host, heartbeat_fields fields = {})
+    {
+        fields.host = host_name(host);
+        fields.zone = zone_name("zone-a");
+        fields.sequence = ++sequence_;
+        deliver(heartbeat_received{fields});
+    }
+
+    void ask(std::size_t tasks = 1, duration limit = std::chrono::seconds(10))
+    {
+        deliver(request_received{call_id(++calls_),
+                                 request(request_fields{.service = service_name("quote"),
+                                                        .team = team_name("desk"),
+                                                        .tasks = std::vector<task>(tasks),
+                                                        .deadline = now_ + limit})});
+    }
+
+    template <typename Action>
+    std::vector<Action> take()
+    {
+        std::vector<Action> taken;
+        for (const action& it : engine_->take_actions()) {
+            if (const auto* found = std::get_if<Action>(&it)) {
+                taken.push_back(*found);
+            }
+        }
+        return taken;
+    }
+
+    const target_state& target(int number) const
+    {
+        return *board().targets.find(target_name("target-" + std::to_string(number)));
+    }
+
+  private:
+    std::unique_ptr<engine> engine_;
+    time_point now_{std::chrono::seconds(1)};
+    std::uint64_t revision_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace papayafall::test_support
