--- a/packages/core/tests/random/history.cpp
+++ b/packages/core/tests/random/history.cpp
@@ -10,12 +10,31 @@
     submissions_[name] = std::move(facts);
 }
 
+void history::note(const std::string& name, const std::string& step)
+{
+    traces_[name].push_back(step);
+}
+
+std::string history::trace(const std::string& name) const
+{
+    std::string text;
+    const auto found = traces_.find(name);
+    if (found == traces_.end()) {
+        return text;
+    }
+    for (const std::string& it : found->second) {
+        text += "\n  " + it;
+    }
+    return text;
+}
+
 void history::on_start(const std::string& body)
 {
     ++starts_;
     const std::uint64_t count = ++started_[body];
     if (count > 1 && !submissions_.at(owners_.at(body)).may_repeat) {
-        throw violation("task " + body + " was started " + std::to_string(count) + " times");
+        throw violation("task " + body + " was started " + std::to_string(count) + " times" +
+                        trace(owners_.at(body)));
     }
 }
 
@@ -29,7 +48,7 @@
     if (reason->run == run_state::not_run && count > 0) {
         throw violation("submission " + name + " was answered with not_run (" +
                         std::string(to_string(reason->id)) + ") after " + std::to_string(count) +
-                        " starts");
+                        " starts" + trace(name));
     }
     if (reason->run == run_state::ran && count == 0) {
         throw violation("submission " + name + " was answered with ran and never started");
--- a/packages/daemon/include/papayafall/daemon/http/caller_request.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_request.hpp
@@ -60,7 +60,7 @@
 enum class answer_shape : std::uint8_t {
     single,       ///< the body that the target returned
     job,          ///< JSON with one entry for each task
-    cancellation, ///< no content
+    cancellation, ///< JSON that tells whether the request was cancelled, and what had run
     tickets,      ///< JSON with the tickets
 };
 
--- a/packages/daemon/src/http/caller_listener.cpp
+++ b/packages/daemon/src/http/caller_listener.cpp
@@ -10,10 +10,10 @@
 namespace papayafall {
 
 caller_listener::caller_listener(front_end_options options, std::optional<QSslConfiguration> tls,
-                                 caller_socket_observer& observer, front_end_metrics& metrics,
+                                 const front_end_links& links, caller_socket_observer& observer,
                                  QObject* parent)
-    : QTcpServer(parent), options_(std::move(options)), tls_(std::move(tls)), observer_(observer),
-      metrics_(metrics)
+    : QTcpServer(parent), options_(std::move(options)), tls_(std::move(tls)), links_(links),
+      observer_(observer)
 {
 }
 
@@ -47,13 +47,13 @@
 void caller_listener::count_closed()
 {
     --connections_;
-    metrics_.count_closed();
+    links_.metrics.count_closed();
 }
 
 void caller_listener::incomingConnection(qintptr descriptor)
 {
     if (connections_ >= options_.max_connections_per_thread) {
-        metrics_.count_rejected();
+        links_.metrics.count_rejected();
         ::close(static_cast<int>(descriptor));
         return;
     }
@@ -61,10 +61,10 @@
     if (transport == nullptr) {
         return;
     }
-    auto* caller = new caller_socket(transport, options_.connection, observer_, this);
+    auto* caller = new caller_socket(transport, options_.connection, links_.clock, observer_, this);
     sockets_.push_back(*caller);
     ++connections_;
-    metrics_.count_opened();
+    links_.metrics.count_opened();
     addPendingConnection(caller);
 }
 
--- a/packages/daemon/src/http/front_end_thread.cpp
+++ b/packages/daemon/src/http/front_end_thread.cpp
@@ -1,7 +1,5 @@
 #include "papayafall/daemon/http/front_end_thread.hpp"
 
-#include "papayafall/daemon/http/steady_now.hpp"
-
 #include <QMetaObject>
 
 #include <algorithm>
@@ -11,7 +9,7 @@
 
 front_end_thread::front_end_thread(const front_end_options& options, const front_end_links& links,
                                    call_numbering numbering, std::optional<QSslConfiguration> tls)
-    : socket_(options.listen), tls_(std::move(tls)),
+    : clock_(links.clock), socket_(options.listen), tls_(std::move(tls)),
       server_(std::make_unique<caller_server>(options, links, numbering)),
       actions_([this] { wake(); })
 {
@@ -21,7 +19,7 @@
 
 front_end_thread::~front_end_thread()
 {
-    join(steady_now());
+    join(clock_.read().steady);
 }
 
 void front_end_thread::start()
@@ -52,7 +50,7 @@
     if (!thread_.isRunning()) {
         return;
     }
-    const auto left = std::max(deadline - steady_now(), duration::zero());
+    const auto left = std::max(deadline - clock_.read().steady, duration::zero());
     const auto left_ms = std::chrono::ceil<std::chrono::milliseconds>(left).count();
     if (thread_.wait(QDeadlineTimer(left_ms))) {
         return;
--- a/packages/daemon/src/peers/frame_channel.cpp
+++ b/packages/daemon/src/peers/frame_channel.cpp
@@ -1,8 +1,7 @@
 #include "frame_channel.hpp"
 
-#include "steady_clock.hpp"
-
 #include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/http/steady_now.hpp"
 #include "papayafall/wire/peer/message_limits.hpp"
 
 #include <QRandomGenerator>
@@ -134,8 +133,8 @@
     }
     closed_ = true;
     batch_.clear();
-    socket_->abort();
     context_.metrics->count_closed(role_, reason);
+    socket_->abort();
     observer_->on_closed();
 }
 
