--- a/packages/daemon/src/peers/frame_channel.cpp
+++ b/packages/daemon/src/peers/frame_channel.cpp
@@ -1,7 +1,7 @@
 #include "frame_channel.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/http/steady_now.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
 #include "papayafall/wire/peer/message_limits.hpp"
 
 #include <QRandomGenerator>
--- a/packages/daemon/src/peers/incoming_link.cpp
+++ b/packages/daemon/src/peers/incoming_link.cpp
@@ -1,7 +1,7 @@
 #include "incoming_link.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/http/steady_now.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
 
 namespace papayafall::detail {
 
--- a/packages/daemon/src/peers/peer_hub.cpp
+++ b/packages/daemon/src/peers/peer_hub.cpp
@@ -1,7 +1,7 @@
 #include "peer_hub.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/http/steady_now.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
 
 #include <QHostAddress>
 
--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -4,7 +4,7 @@
 
 #include "http/raw_client.hpp"
 #include "http/scripted_core.hpp"
-#include "support/qt_application.hpp"
+#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -52,7 +52,8 @@
         front.start();
     }
 
-    QCoreApplication& application = qt_application();
+    ensure_application();
+    QCoreApplication& application = *QCoreApplication::instance();
     system_clock_source clock;
     scripted_core core;
     prometheus::Registry registry;
--- a/packages/daemon/tests/platform/unit-platform_agent.cpp
+++ b/packages/daemon/tests/platform/unit-platform_agent.cpp
@@ -4,7 +4,7 @@
 #include "papayafall/platform/store/keys.hpp"
 #include "papayafall/wire/configuration/configuration_json.hpp"
 #include "papayafall/wire/configuration/host_list_json.hpp"
-#include "platform/event_recorder.hpp"
+#include "support/event_recorder.hpp"
 #include "support/stand_in_platform.hpp"
 #include "support/test_application.hpp"
 
--- a/packages/daemon/tests/support/event_recorder.hpp
+++ b/packages/daemon/tests/support/event_recorder.hpp
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <cstddef>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace papayafall {
@@ -32,6 +33,25 @@
         return select<Event>();
     }
 
+    /// Next event of a kind after the ones taken before; empty when none comes within 20 s.
+    template <typename Event>
+    std::optional<Event> next()
+    {
+        std::unique_lock lock(mutex_);
+        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (true) {
+            for (; taken_ < events_.size(); ++taken_) {
+                if (const auto* it = std::get_if<Event>(&events_[taken_])) {
+                    ++taken_;
+                    return std::optional<Event>(*it);
+                }
+            }
+            if (arrived_.wait_until(lock, deadline) == std::cv_status::timeout) {
+                return std::nullopt;
+            }
+        }
+    }
+
     std::size_t size()
     {
         const std::lock_guard lock(mutex_);
@@ -54,6 +74,7 @@
     std::mutex mutex_;
     std::condition_variable arrived_;
     std::vector<event> events_;
+    std::size_t taken_ = 0;
 };
 
 } // namespace papayafall
--- a/packages/platform/include/papayafall/platform/clock/clock_source.hpp
+++ b/packages/platform/include/papayafall/platform/clock/clock_source.hpp
@@ -21,4 +21,7 @@
     clock_reading read() const override;
 };
 
+/// The instant of `std::chrono::steady_clock`, for threads that have no `clock_source`.
+time_point steady_now() noexcept;
+
 } // namespace papayafall
--- a/packages/platform/src/clock/clock_source.cpp
+++ b/packages/platform/src/clock/clock_source.cpp
@@ -7,9 +7,13 @@
 clock_reading system_clock_source::read() const
 {
     using namespace std::chrono;
-    const auto steady = steady_clock::now().time_since_epoch();
-    const auto wall = system_clock::now();
-    return {time_point(duration_cast<duration>(steady)), floor<milliseconds>(wall)};
+    return {steady_now(), floor<milliseconds>(system_clock::now())};
+}
+
+time_point steady_now() noexcept
+{
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    return time_point(std::chrono::duration_cast<duration>(steady));
 }
 
 } // namespace papayafall
