--- a/packages/daemon/tests/platform/unit-platform_agent.cpp
+++ b/packages/daemon/tests/platform/unit-platform_agent.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(later_holder_inherits);
     CPPUNIT_TEST(held_seat_is_refused);
     CPPUNIT_TEST(lost_answer_of_a_claim_is_resolved);
+    CPPUNIT_TEST(claim_that_is_given_up_leaves_no_lock);
     CPPUNIT_TEST(lapsed_session_is_reported_and_opened_again);
     CPPUNIT_TEST(outage_is_survived);
     CPPUNIT_TEST(confirmed_changes_arrive);
@@ -112,6 +113,21 @@
         CPPUNIT_ASSERT(granted && !granted->inherited_at);
     }
 
+    void claim_that_is_given_up_leaves_no_lock()
+    {
+        host first("e1", *connector_, clock_);
+        CPPUNIT_ASSERT(first.events.next<session_confirmed>().has_value());
+        platform_->set_faults({.lose_answers = 3});
+        first.agent.post(claim_seat{seat_});
+        wait_for_count("release");
+
+        host second("e2", *connector_, clock_);
+        claim(second);
+        const auto granted = second.events.next<seat_granted>();
+        CPPUNIT_ASSERT(granted && granted->inherited_at);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, platform_->counts()["acquire"]);
+    }
+
     void lapsed_session_is_reported_and_opened_again()
     {
         host first("e1", *connector_, clock_);
