--- a/packages/core/include/papayafall/core/messages/event.hpp
+++ b/packages/core/include/papayafall/core/messages/event.hpp
@@ -86,7 +86,8 @@
     const configuration content;
 };
 
-/// The platform confirmed the session under which this process holds seats.
+/// The platform confirmed the session under which this process holds seats. After a session has
+/// ended, `session_lost` comes before the confirmation of the next one.
 struct session_confirmed {
     const time_point lease_until; ///< counted from before the confirming call was sent
 };
--- a/packages/core/tests/bench/policy-comparison.cpp
+++ b/packages/core/tests/bench/policy-comparison.cpp
@@ -54,6 +54,36 @@
     }
 };
 
+/// Share of the requests of one service with a useful answer; at crests for short work.
+double useful_share_of(const run_result& result, const load_shape& shape,
+                       const service_profile& service)
+{
+    double offered = 0;
+    double useful = 0;
+    for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
+        const arrival& from = result.arrivals[n];
+        if (from.service != &service || from.at < warm_from ||
+            (!service.long_work && !shape.is_crest(from.at))) {
+            continue;
+        }
+        offered += 1;
+        useful += result.outcomes[n].useful ? 1 : 0;
+    }
+    return useful / offered;
+}
+
+void print_services(const run_result& result, const load_shape& shape)
+{
+    std::printf("    answered in time:");
+    for (const service_profile& it : profiles()) {
+        if (it.long_work && !shape.with_long_work) {
+            continue;
+        }
+        std::printf(" %s %.3f", it.name.text().c_str(), useful_share_of(result, shape, it));
+    }
+    std::printf("\n");
+}
+
 part collect(const run_result& result, const load_shape& shape, bool crest)
 {
     part collected;
@@ -77,17 +107,21 @@
     return collected;
 }
 
-/// Slot time of the useful answers that came in crests, over the capacity of these crests.
+/// Slot time within crests that went into useful answers, over the capacity of these crests.
 double useful_share(const run_result& result, const load_shape& shape, std::uint32_t slots)
 {
     double useful = 0;
     for (std::size_t n = 0; n < result.arrivals.size(); ++n) {
         const request_outcome& outcome = result.outcomes[n];
-        if (!outcome.useful || outcome.answered_at < warm_from ||
-            !shape.is_crest(outcome.answered_at)) {
+        if (!outcome.useful) {
             continue;
         }
-        useful += seconds(result.arrivals[n].run_time);
+        const time_point started_at = outcome.answered_at - result.arrivals[n].run_time;
+        for (time_point it = warm_from; it.time_since_epoch() < shape.end; it += shape.period) {
+            const time_point from = std::max(it + shape.period - shape.crest, started_at);
+            const time_point to = std::min(it + shape.period, outcome.answered_at);
+            useful += std::max(0.0, seconds(to - from));
+        }
     }
     const auto crests = (shape.end - warm_from.time_since_epoch()) / shape.period;
     return useful / (static_cast<double>(crests) * seconds(shape.crest) * slots);
@@ -116,7 +150,7 @@
 {
     std::printf("%s\n", title);
     const std::vector<arrival> arrivals = make_arrivals(shape, plan.slots(), seed);
-    for (const policy_set& it : all_sets()) {
+    for (const candidate& it : all_candidates()) {
         const run_result result = simulation(it, plan, arrivals).run();
         std::size_t useful = 0;
         for (const request_outcome& outcome : result.outcomes) {
@@ -126,6 +160,7 @@
         std::printf("  %-18s wasted messages per useful one %.4f; useful work at the crest %.3f "
                     "of capacity\n",
                     it.name.c_str(), wasted, useful_share(result, shape, plan.slots()));
+        print_services(result, shape);
         print_part("calm", collect(result, shape, false));
         print_part("crest", collect(result, shape, true));
     }
@@ -137,7 +172,9 @@
 {
     compare("short work, crest at 0.8 of capacity", {}, {});
     compare("short work, crest at 0.9 of capacity", {.calm_load = 0.225, .crest_load = 0.9}, {});
-    compare("short work at 0.15 and 0.6 with long work at 0.35 of capacity",
+    compare("short work at 0.15 and 0.6 of capacity, no long work",
+            {.calm_load = 0.15, .crest_load = 0.6}, {});
+    compare("short work at 0.15 and 0.6 of capacity, with bursts of long work of 0.2 in the mean",
             {.calm_load = 0.15, .crest_load = 0.6, .with_long_work = true}, {});
     compare("short work, crest at 1.6 of capacity", {.calm_load = 0.4, .crest_load = 1.6}, {});
     compare("short work, crest at 0.6 of capacity, one target of 8 fails everything",
--- a/packages/core/tests/random/history.hpp
+++ b/packages/core/tests/random/history.hpp
@@ -29,6 +29,12 @@
   public:
     void add_submission(const std::string& name, submission_facts facts);
 
+    /// Adds a step to the trace of `name`, which is part of the report of a violation.
+    void note(const std::string& name, const std::string& step);
+
+    /// The steps of `name`, one a line.
+    std::string trace(const std::string& name) const;
+
     /// A target started the task with this body.
     void on_start(const std::string& body);
 
@@ -45,12 +51,16 @@
 
     std::uint64_t answers(const std::string& kind) const;
 
+    /// Number of answers of each kind.
+    const std::map<std::string, std::uint64_t>& answer_counts() const noexcept { return answers_; }
+
   private:
     std::uint64_t starts_of(const std::string& name) const;
 
     std::map<std::string, submission_facts> submissions_;
     std::map<std::string, std::string> owners_; ///< submission of each body
     std::map<std::string, std::uint64_t> started_;
+    std::map<std::string, std::vector<std::string>> traces_;
     std::map<std::string, std::uint64_t> revisions_;
     std::map<std::string, std::uint64_t> answers_;
     std::uint64_t starts_ = 0;
--- a/packages/core/tests/random/target_model.cpp
+++ b/packages/core/tests/random/target_model.cpp
@@ -19,7 +19,9 @@
 {
     target_model& target = targets_.at(name);
     if (target.leaving && fresh && time_.now() > target.left_at + leaving_limit) {
-        throw violation("leaving target " + name.text() + " got new work");
+        throw violation("leaving target " + name.text() + " got new work " +
+                        std::to_string((time_.now() - target.left_at).count()) + " us later" +
+                        seen_.trace(body.substr(0, body.find('/'))));
     }
     if (target.mode == target_mode::refuse || target.busy >= target.entry.slots) {
         answer(target_refused{.leaving = false});
--- a/packages/core/tests/random/world.cpp
+++ b/packages/core/tests/random/world.cpp
@@ -40,6 +40,26 @@
     return body.substr(0, body.find('/'));
 }
 
+std::string describe(const answer& result)
+{
+    const auto* reason = std::get_if<failure>(&result);
+    return reason == nullptr ? "complete"
+                             : std::string(to_string(reason->run)) + " (" +
+                                   std::string(to_string(reason->id)) + ")";
+}
+
+std::string describe(const std::optional<request_key>& key)
+{
+    if (!key) {
+        return "no key";
+    }
+    if (const auto* it = std::get_if<ticket>(&*key)) {
+        return "ticket " + it->host.text() + "#" + std::to_string(it->incarnation.value()) + "/" +
+               std::to_string(it->sequence);
+    }
+    return "key " + std::get<caller_key>(*key).text;
+}
+
 time_point moved(time_point deadline, const host_process& from, const host_process& to)
 {
     return deadline == no_deadline ? deadline : deadline - from.steady_offset + to.steady_offset;
@@ -75,6 +95,7 @@
 run_summary world::run(duration length)
 {
     const time_point end = time_.now() + length;
+    callers_end_ = end;
     time_.after(std::chrono::seconds(3), [this, end] {
         keep_calling(end);
         keep_failing(end);
@@ -88,7 +109,7 @@
     for (const auto& [call, it] : calls_) {
         if (!it.hung_up && find(it.host) != nullptr) {
             throw violation("a call of submission " + it.name + " was never answered by " +
-                            it.host.host.text());
+                            it.host.host.text() + seen_.trace(it.name));
         }
     }
     summary_.starts = seen_.starts();
@@ -195,11 +216,14 @@
                 return;
             }
             const bool alive = platform_.renew(id, open);
-            host.session_open = alive;
             if (chance_.percent(10)) {
                 return; // the answer is lost
             }
-            time_.after(chance_.milliseconds(1, 30), [this, id, alive, lease] {
+            time_.after(chance_.milliseconds(1, 30), [this, &host, id, alive, lease] {
+                if (host.id() != id || !host.core) {
+                    return;
+                }
+                host.session_open = alive;
                 deliver(id, alive ? event(session_confirmed{lease}) : event(session_lost{}));
             });
         });
@@ -292,12 +316,14 @@
         requested);
 }
 
-void world::act(host_process& /*host*/, const answer_call& it, bool relayed)
+void world::act(host_process& host, const answer_call& it, bool relayed)
 {
     const auto found = calls_.find(it.call);
     if (found == calls_.end()) {
         return;
     }
+    note(found->second.name,
+         host.process() + (relayed ? " relays " : " decides ") + describe(it.result));
     if (!relayed) {
         seen_.on_decision(found->second.name, it.result);
     }
@@ -317,6 +343,8 @@
     });
     const pending_key key{host.id(), it.correlation.value(), false};
     forwarded_[key] = name_of(content);
+    note(name_of(content), host.process() + " forwards to " + it.peer.host.text() + "#" +
+                               std::to_string(it.peer.incarnation.value()));
     send(host, it.peer, key, forward_received{{host.id(), it.correlation}, content},
          forward_failed{it.correlation, false}, forward_failed{it.correlation, true});
 }
@@ -333,6 +361,7 @@
     const pending_key key{it.origin.peer, it.origin.correlation.value(), false};
     const auto name = forwarded_.find(key);
     if (name != forwarded_.end()) {
+        note(name->second, host.process() + " answers a forward with " + describe(it.result));
         seen_.on_decision(name->second, it.result);
     }
     send_answer(host, key, forward_answered{it.origin.correlation, it.result});
@@ -355,6 +384,10 @@
     const bool fresh =
         time_.now() > disturbed_until_ && time_.now() > host.started_at + std::chrono::seconds(5);
     const std::string body(it.work->body.view());
+    note(
+        body.substr(0, body.find('/')),
+        host.process() + " sends " + body + " to " + it.target.text() + " in stage " +
+            std::to_string(static_cast<int>((*host.core->board().targets.find(it.target))->stage)));
     const duration waits = it.deadline - host.read(time_.now()).steady;
     time_.after(waits + duration(1000), [reply] { reply(no_answer{}); });
     time_.after(delay(), [this, target = it.target, body, fresh, answer_lost, reply] {
@@ -535,6 +568,11 @@
     }
 }
 
+void world::note(const std::string& name, const std::string& step)
+{
+    seen_.note(name, std::to_string(time_.now().time_since_epoch().count()) + " us: " + step);
+}
+
 // Callers
 
 void world::keep_calling(time_point end)
@@ -592,7 +630,7 @@
     }
     seen_.add_submission(name, std::move(facts));
     ++summary_.submissions;
-    return caller_submission{.name = name, .content = fields};
+    return caller_submission{.name = name, .content = fields, .made_at = time_.now()};
 }
 
 void world::call(const caller_submission& submission)
@@ -609,6 +647,7 @@
         }
     });
     calls_[id] = open_call{.name = submission.name, .host = host.id()};
+    note(submission.name, "sent to " + host.process() + " under " + describe(content->key));
     deliver(host.id(), request_received{id, content});
     if (chance_.percent(5)) {
         time_.after(chance_.milliseconds(1, 500), [this, id] {
@@ -637,11 +676,22 @@
                           : chance_.percent(50) ? chance_.milliseconds(0, 20)
                                                 : chance_.milliseconds(0, 3000);
     time_.after(wait, [this, submission] {
+        if (time_.now() >= callers_end_ || !within_promise(submission)) {
+            return;
+        }
         call(submission);
         call_again_later(submission);
     });
 }
 
+/// A key without a creation time is recognised for the retention of its record only.
+bool world::within_promise(const caller_submission& submission) const
+{
+    const auto* key = std::get_if<caller_key>(&*submission.content->key);
+    return key == nullptr || key->made_at ||
+           time_.now() < submission.made_at + small_parameters()->record_retention * 3 / 4;
+}
+
 void world::on_call_answer(const call_id& call, const answer& result)
 {
     const auto found = calls_.find(call);
--- a/packages/core/tests/random/world.hpp
+++ b/packages/core/tests/random/world.hpp
@@ -40,10 +40,13 @@
     /// @throws violation or invariant_error at the first breach
     run_summary run(duration length);
 
+    const history& seen() const noexcept { return seen_; }
+
   private:
     struct caller_submission {
         std::string name;
         request content;
+        time_point made_at{};
     };
 
     struct open_call {
@@ -99,12 +102,15 @@
     void lose(const pending_key& key, duration delay);
     void fail_pending(const peer_id& receiver);
 
+    void note(const std::string& name, const std::string& step);
+
     // callers
     void keep_calling(time_point end);
     caller_submission make_submission();
     std::optional<request_key> make_key();
     void call(const caller_submission& submission);
     void call_again_later(const caller_submission& submission);
+    bool within_promise(const caller_submission& submission) const;
     void on_call_answer(const call_id& call, const answer& result);
     host_process& any_host();
 
@@ -125,6 +131,7 @@
     target_fleet targets_;
     std::vector<host_process> hosts_;
     std::set<std::pair<zone_name, zone_name>> cut_;
+    time_point callers_end_{};
     time_point disturbed_until_{}; ///< membership or platform disturbed until then
     std::uint64_t next_incarnation_ = 1;
     std::uint64_t next_call_ = 1;
--- a/packages/daemon/include/papayafall/daemon/http/caller_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_server.hpp
@@ -1,14 +1,12 @@
 #pragma once
 
-#include "papayafall/core/engine/sinks.hpp"
 #include "papayafall/daemon/http/caller_listener.hpp"
 #include "papayafall/daemon/http/caller_request.hpp"
 #include "papayafall/daemon/http/caller_socket.hpp"
-#include "papayafall/daemon/http/front_end_metrics.hpp"
+#include "papayafall/daemon/http/front_end_links.hpp"
 #include "papayafall/daemon/http/front_end_options.hpp"
 
 #include <boost/intrusive/set.hpp>
-#include <prometheus/registry.h>
 
 #include <QAbstractHttpServer>
 #include <QSslConfiguration>
@@ -30,13 +28,6 @@
     auto operator<=>(const call_numbering&) const = default;
 };
 
-/// What the front-end threads share; each member must outlive them.
-struct front_end_links {
-    event_sink& events;
-    front_end_metrics& metrics;
-    prometheus::Registry& registry;
-};
-
 /// Decodes callers' requests into events and encodes the answers, on one traffic thread.
 ///
 /// Created on any thread and moved to its own; every public member runs there from then on.
@@ -94,6 +85,8 @@
     void respond(caller_socket& caller, const failure& reason);
     void check_drained();
 
+    time_point now() const { return links_.clock.read().steady; }
+
     http_response health() const;
     http_response readiness() const;
     http_response metrics_page() const;
--- a/packages/daemon/include/papayafall/daemon/http/front_end.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/front_end.hpp
@@ -3,6 +3,7 @@
 #include "papayafall/core/engine/sinks.hpp"
 #include "papayafall/daemon/http/front_end_metrics.hpp"
 #include "papayafall/daemon/http/front_end_options.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
 
 #include <prometheus/registry.h>
 
@@ -23,10 +24,12 @@
 class front_end final : public action_sink {
   public:
     /// Opens the listening sockets; connections wait until `start`.
+    /// @param clock must outlive this object
     /// @param events must outlive this object
     /// @param registry shown at `/metrics`; must outlive this object
     /// @throws configuration_error when the address or the TLS files cannot be used
-    front_end(const front_end_options& options, event_sink& events, prometheus::Registry& registry);
+    front_end(const front_end_options& options, const clock_source& clock, event_sink& events,
+              prometheus::Registry& registry);
 
     /// Cuts what `stop` has left.
     ~front_end() override;
@@ -53,6 +56,7 @@
 
   private:
     const front_end_options options_;
+    const clock_source& clock_;
     front_end_metrics metrics_;
     std::uint16_t port_ = 0;
     std::vector<std::unique_ptr<front_end_thread>> threads_;
--- a/packages/daemon/src/http/caller_server.cpp
+++ b/packages/daemon/src/http/caller_server.cpp
@@ -1,7 +1,6 @@
 #include "papayafall/daemon/http/caller_server.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/http/steady_now.hpp"
 #include "papayafall/wire/http/answer_codec.hpp"
 #include "papayafall/wire/http/status_codec.hpp"
 
@@ -143,12 +142,11 @@
 
 void caller_server::open(int descriptor, std::optional<QSslConfiguration> tls)
 {
-    listener_ = new caller_listener(options_, std::move(tls), *this, links_.metrics, this);
+    listener_ = new caller_listener(options_, std::move(tls), links_, *this, this);
     listener_->setSocketDescriptor(descriptor);
     bind(listener_);
     deadline_timer_ = new QTimer(this);
-    connect(deadline_timer_, &QTimer::timeout, this,
-            [this] { listener_->check_deadlines(steady_now()); });
+    connect(deadline_timer_, &QTimer::timeout, this, [this] { listener_->check_deadlines(now()); });
     deadline_timer_->start(deadline_check_interval);
 }
 
@@ -160,7 +158,7 @@
         show_tickets(issued->call, issued->tickets);
     } else if (const auto* published = std::get_if<publish_status>(&requested)) {
         status_ = published->status;
-        status_valid_until_ = steady_now() + options_.status_validity;
+        status_valid_until_ = now() + options_.status_validity;
     }
 }
 
@@ -195,7 +193,7 @@
 {
     links_.metrics.count_request("refused");
     const failure cause{.id = reason.id, .run = run_state::not_run, .detail = reason.detail};
-    respond(caller, problem_response(cause, reason.status, steady_now()), to_string(reason.id));
+    respond(caller, problem_response(cause, reason.status, now()), to_string(reason.id));
 }
 
 void caller_server::on_closed(caller_socket& caller)
@@ -224,7 +222,7 @@
 void caller_server::serve(caller_socket& caller, const http_request& incoming)
 {
     try {
-        std::visit(dispatcher(*this, caller), decode_caller_request(incoming, steady_now()));
+        std::visit(dispatcher(*this, caller), decode_caller_request(incoming, now()));
     } catch (const request_error& e) {
         links_.metrics.count_request("refused");
         respond(caller, failure{.id = e.id(), .run = run_state::not_run, .detail = message_of(e)});
@@ -234,7 +232,7 @@
 call_id caller_server::expect_answer(caller_socket& caller, answer_shape shape)
 {
     const call_id call(next_call_++ * numbering_.threads + numbering_.thread);
-    caller.set_call(open_call{.call = call, .shape = shape, .received_at = steady_now()});
+    caller.set_call(open_call{.call = call, .shape = shape, .received_at = now()});
     calls_.insert(caller);
     return call;
 }
@@ -247,7 +245,7 @@
     }
     caller_socket& caller = *it;
     calls_.erase(it);
-    links_.metrics.observe_answer_time(steady_now() - caller.call().received_at);
+    links_.metrics.observe_answer_time(now() - caller.call().received_at);
     return &caller;
 }
 
@@ -257,11 +255,9 @@
     if (caller == nullptr) {
         return;
     }
-    if (const auto* reason = std::get_if<failure>(&result)) {
-        respond(*caller, *reason);
-        return;
-    }
-    respond(*caller, encode_answer(result, caller->call().shape, steady_now()), ok_result);
+    const auto* reason = std::get_if<failure>(&result);
+    respond(*caller, encode_answer(result, caller->call().shape, now()),
+            reason != nullptr ? to_string(reason->id) : ok_result);
 }
 
 void caller_server::show_tickets(call_id call, const std::vector<ticket>& tickets)
@@ -280,7 +276,7 @@
 
 void caller_server::respond(caller_socket& caller, const failure& reason)
 {
-    respond(caller, problem_response(reason, steady_now()), to_string(reason.id));
+    respond(caller, problem_response(reason, now()), to_string(reason.id));
 }
 
 void caller_server::check_drained()
@@ -292,13 +288,13 @@
 
 http_response caller_server::health() const
 {
-    const bool alive = steady_now() < status_valid_until_;
+    const bool alive = now() < status_valid_until_;
     return state_page(alive, alive ? "alive" : "silent");
 }
 
 http_response caller_server::readiness() const
 {
-    const bool ready = status_ && (*status_)->ready && steady_now() < status_valid_until_;
+    const bool ready = status_ && (*status_)->ready && now() < status_valid_until_;
     return state_page(ready, ready ? "ready" : "not ready");
 }
 
@@ -315,7 +311,7 @@
     if (!status_) {
         return state_page(false, "not known yet");
     }
-    return http_response{.body = encode_status(*status_, steady_now())};
+    return http_response{.body = encode_status(*status_, now())};
 }
 
 } // namespace papayafall
--- a/packages/daemon/src/http/caller_socket.cpp
+++ b/packages/daemon/src/http/caller_socket.cpp
@@ -1,7 +1,5 @@
 #include "papayafall/daemon/http/caller_socket.hpp"
 
-#include "papayafall/daemon/http/steady_now.hpp"
-
 #include <QSslSocket>
 
 #include <sys/socket.h>
@@ -20,10 +18,11 @@
 } // namespace
 
 caller_socket::caller_socket(QTcpSocket* transport, const connection_limits& limits,
-                             caller_socket_observer& observer, QObject* parent)
-    : QTcpSocket(parent), transport_(transport), observer_(observer), limits_(limits),
-      framer_(limits.max_header_size, limits.max_body_size),
-      deadline_(steady_now() + limits.transfer_time)
+                             const clock_source& clock, caller_socket_observer& observer,
+                             QObject* parent)
+    : QTcpSocket(parent), transport_(transport), clock_(clock), observer_(observer),
+      limits_(limits), framer_(limits.max_header_size, limits.max_body_size),
+      deadline_(now() + limits.transfer_time)
 {
     transport_->setParent(this);
     transport_->setReadBufferSize(transport_buffer_size);
@@ -60,7 +59,7 @@
     const std::string message = encode_response(
         response, response_framing{.keep_alive = keep_alive_, .without_body = head_only_});
     phase_ = phase::sending;
-    deadline_ = steady_now() + limits_.transfer_time;
+    deadline_ = now() + limits_.transfer_time;
     transport_->write(message.data(), static_cast<qint64>(message.size()));
     transport_->flush();
     if (phase_ == phase::sending && unsent_bytes() == 0) {
@@ -77,9 +76,9 @@
     }
 }
 
-void caller_socket::check_deadline(time_point now)
+void caller_socket::check_deadline(time_point instant)
 {
-    if (now < deadline_) {
+    if (instant < deadline_) {
         return;
     }
     if (phase_ == phase::receiving) {
@@ -214,6 +213,7 @@
     phase_ = phase::in_progress;
     deadline_ = no_deadline;
     keep_alive_ = false;
+    head_only_ = false;
     refused_ = true;
     observer_.on_refused(*this, reason);
 }
@@ -235,7 +235,7 @@
 {
     if (phase_ == phase::idle) {
         phase_ = phase::receiving;
-        deadline_ = steady_now() + limits_.transfer_time;
+        deadline_ = now() + limits_.transfer_time;
     }
     if (part.expects_continue && !continue_sent_) {
         continue_sent_ = true;
@@ -250,14 +250,14 @@
         return;
     }
     phase_ = phase::idle;
-    deadline_ = steady_now() + limits_.idle_time;
+    deadline_ = now() + limits_.idle_time;
     advance();
 }
 
 void caller_socket::linger()
 {
     phase_ = phase::lingering;
-    deadline_ = steady_now() + limits_.linger_time;
+    deadline_ = now() + limits_.linger_time;
     const bool all_read =
         !refused_ && buffer_.size() == released_ && transport_->bytesAvailable() == 0;
     if (all_read || qobject_cast<QSslSocket*>(transport_) != nullptr) {
--- a/packages/daemon/tests/support/peer_process.hpp
+++ b/packages/daemon/tests/support/peer_process.hpp
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "papayafall/daemon/peers/peer_traffic.hpp"
-#include "support/qt_application.hpp"
-#include "support/recording_sink.hpp"
+#include "support/event_recorder.hpp"
 
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -49,9 +48,8 @@
         return text.substr(value, text.find('\n', value) - value);
     }
 
-    QCoreApplication& application = qt_application();
     peer_id id;
-    recording_sink events;
+    event_recorder events;
     prometheus::Registry metrics;
     peer_traffic traffic;
 };
--- a/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
@@ -28,7 +28,7 @@
     outbound_observer& operator=(const outbound_observer&) = delete;
     virtual ~outbound_observer() = default;
 
-    /// Called once for each request, in the thread of the client, never from within `post`.
+    /// Called once for each request, in the thread of the client, never from within `send`.
     virtual void on_finished(outbound_call_id call, const outbound_outcome& outcome) = 0;
 };
 
@@ -46,7 +46,7 @@
 
 struct outbound_counters {
     std::uint64_t connections_opened = 0;
-    std::uint64_t connections_renewed = 0; ///< times that a server's connections were given up
+    std::uint64_t connections_renewed = 0; ///< requests whose connection was given up as silent
 
     auto operator<=>(const outbound_counters&) const = default;
 };
@@ -56,13 +56,13 @@
 class outbound_call;
 } // namespace detail
 
-/// Sends POST requests, each exactly once, over as many connections as there are requests in
+/// Sends requests, a POST at most once, over as many connections as there are requests in
 /// progress.
 ///
 /// It belongs to the thread that constructs it and needs an event loop there. Each connection
-/// carries one request at a time. After a deadline has passed without an answer no present
-/// connection to that server is used again. Redirects, proxies, cookies, HTTP/2, pipelining and
-/// compression are off.
+/// carries one request at a time. After a deadline has passed without an answer, the
+/// connections to that server that answered nothing since the request was sent are not used again.
+/// Redirects, proxies, cookies, HTTP/2, pipelining and compression are off.
 class outbound_client : public QObject {
   public:
     /// @param clock the clock of the requests' deadlines
@@ -72,7 +72,7 @@
 
     /// Sends `request`; the observer learns how it ends.
     /// @param call not in progress at present
-    void post(outbound_call_id call, const outbound_request& request);
+    void send(outbound_call_id call, const outbound_request& request);
 
     /// Gives up a request: it ends at once with `not_sent` or `connection_lost`. An unknown call
     /// is ignored.
@@ -83,6 +83,7 @@
     outbound_counters counters() const noexcept;
 
   private:
+    void start(detail::outbound_call& call);
     void on_reply_finished(outbound_call_id call);
     void on_reply_progress(outbound_call_id call);
     void on_timeout();
