--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -28,8 +28,8 @@
 /// reads every section. The blackboard belongs to the control thread alone.
 class blackboard {
   public:
-    blackboard(const self_state& identity, core_parameters settings)
-        : parameters(std::move(settings)), self(identity)
+    blackboard(const self_state& identity, core_parameters limits)
+        : parameters(std::move(limits)), self(identity)
     {
     }
 
--- a/packages/daemon/include/papayafall/daemon/http/caller_socket.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/caller_socket.hpp
@@ -6,6 +6,7 @@
 #include "papayafall/daemon/http/front_end_options.hpp"
 #include "papayafall/daemon/http/http_response.hpp"
 #include "papayafall/daemon/http/request_framer.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
 
 #include <boost/intrusive/list_hook.hpp>
 #include <boost/intrusive/set_hook.hpp>
@@ -57,8 +58,9 @@
 class caller_socket final : public QTcpSocket, public socket_list_hook, public call_index_hook {
   public:
     /// @param transport connected socket, plain or TLS; it becomes a child of this object
+    /// @param clock must outlive this object
     /// @param observer must outlive this object
-    caller_socket(QTcpSocket* transport, const connection_limits& limits,
+    caller_socket(QTcpSocket* transport, const connection_limits& limits, const clock_source& clock,
                   caller_socket_observer& observer, QObject* parent);
     ~caller_socket() override;
 
@@ -74,18 +76,17 @@
     /// Whether a request is in progress.
     bool busy() const noexcept { return phase_ == phase::in_progress; }
 
-    bool closed() const noexcept { return phase_ == phase::closed; }
-
     /// Writes the response to the request in progress, or to a refused one. Without effect on a
     /// closed socket.
     void respond(const http_response& response);
 
-    /// Closes the connection after the request in progress, or at once where there is none.
+    /// Closes the connection after the request of which a part has arrived or that is in progress,
+    /// or at once where there is none.
     void close_when_idle();
 
     /// Ends what took too long: a request that is not complete, an answer that is not taken, or
     /// a connection that is not used.
-    void check_deadline(time_point now);
+    void check_deadline(time_point instant);
 
     /// Cuts the connection.
     void cut();
@@ -127,7 +128,10 @@
     void linger();
     qint64 unsent_bytes() const;
 
+    time_point now() const { return clock_.read().steady; }
+
     QTcpSocket* transport_;
+    const clock_source& clock_;
     caller_socket_observer& observer_;
     const connection_limits limits_;
     request_framer framer_;
--- a/packages/daemon/src/http/front_end.cpp
+++ b/packages/daemon/src/http/front_end.cpp
@@ -1,7 +1,6 @@
 #include "papayafall/daemon/http/front_end.hpp"
 
 #include "papayafall/daemon/http/front_end_thread.hpp"
-#include "papayafall/daemon/http/steady_now.hpp"
 #include "papayafall/daemon/http/tls_loader.hpp"
 
 #include <algorithm>
@@ -19,12 +18,13 @@
 
 } // namespace
 
-front_end::front_end(const front_end_options& options, event_sink& events,
-                     prometheus::Registry& registry)
-    : options_(options), metrics_(registry)
+front_end::front_end(const front_end_options& options, const clock_source& clock,
+                     event_sink& events, prometheus::Registry& registry)
+    : options_(options), clock_(clock), metrics_(registry)
 {
     const auto tls = load_optional_tls(options.tls);
-    const front_end_links links{.events = events, .metrics = metrics_, .registry = registry};
+    const front_end_links links{
+        .clock = clock, .events = events, .metrics = metrics_, .registry = registry};
     const std::uint32_t threads = std::max(options.threads, 1U);
     front_end_options shared = options;
     for (std::uint32_t n = 0; n < threads; ++n) {
@@ -82,7 +82,7 @@
 
 void front_end::stop(std::chrono::milliseconds limit)
 {
-    const time_point deadline = steady_now() + limit;
+    const time_point deadline = clock_.read().steady + limit;
     stop_accepting();
     for (const auto& it : threads_) {
         it->join(deadline);
--- a/packages/daemon/src/peers/peer_hub.cpp
+++ b/packages/daemon/src/peers/peer_hub.cpp
@@ -1,8 +1,7 @@
 #include "peer_hub.hpp"
 
-#include "steady_clock.hpp"
-
 #include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/http/steady_now.hpp"
 
 #include <QHostAddress>
 
--- a/packages/daemon/src/targets/target_metrics.cpp
+++ b/packages/daemon/src/targets/target_metrics.cpp
@@ -23,7 +23,7 @@
                   .Add({})),
       renewed_(prometheus::BuildCounter()
                    .Name("papayafall_target_connections_renewed_total")
-                   .Help("Times that all connections to a target were given up as silent")
+                   .Help("Exchanges whose connection was given up as silent")
                    .Register(registry)
                    .Add({}))
 {
@@ -42,8 +42,7 @@
     finished_.at(outcome.index())->Increment();
 }
 
-void target_metrics::add_connections(const http_client_counters& before,
-                                     const http_client_counters& now)
+void target_metrics::add_connections(const outbound_counters& before, const outbound_counters& now)
 {
     opened_.Increment(static_cast<double>(now.connections_opened - before.connections_opened));
     renewed_.Increment(static_cast<double>(now.connections_renewed - before.connections_renewed));
--- a/packages/daemon/tests/peers/unit-peer_traffic.cpp
+++ b/packages/daemon/tests/peers/unit-peer_traffic.cpp
@@ -1,4 +1,5 @@
 #include "support/peer_process.hpp"
+#include "support/test_application.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
 
@@ -38,6 +39,8 @@
     CPPUNIT_TEST_SUITE_END();
 
   public:
+    void setUp() override { ensure_application(); }
+
     void forwarded_request_gets_the_answer_of_its_home()
     {
         peer_process entry(make_peer_options("entry"));
--- a/packages/platform/tests/support/recording_sink.hpp
+++ b/packages/daemon/tests/platform/event_recorder.hpp
@@ -11,7 +11,7 @@
 namespace papayafall {
 
 /// Keeps the events that other threads post and lets a test wait for the next of a kind.
-class recording_sink : public event_sink {
+class event_recorder : public event_sink {
   public:
     void post(event incoming) override
     {
--- a/packages/daemon/tests/platform/unit-platform_agent.cpp
+++ b/packages/daemon/tests/platform/unit-platform_agent.cpp
@@ -4,7 +4,7 @@
 #include "papayafall/platform/store/keys.hpp"
 #include "papayafall/wire/configuration/configuration_json.hpp"
 #include "papayafall/wire/configuration/host_list_json.hpp"
-#include "support/recording_sink.hpp"
+#include "platform/event_recorder.hpp"
 #include "support/stand_in_platform.hpp"
 #include "support/test_application.hpp"
 
@@ -29,7 +29,7 @@
         agent.start();
     }
 
-    recording_sink events;
+    event_recorder events;
     platform_agent agent;
 };
 
--- a/packages/platform/src/http/http_client.cpp
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -1,7 +1,6 @@
-#include "papayafall/platform/http/http_client.hpp"
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
-#include "http_call.hpp"
-#include "papayafall/platform/http/steady_now.hpp"
+#include "outbound_call.hpp"
 
 #include <QNetworkProxy>
 #include <QNetworkRequest>
@@ -17,7 +16,7 @@
 /// Shortest time between two looks at the deadlines.
 constexpr std::chrono::milliseconds timer_resolution{1};
 
-QUrl make_url(const http_request& request)
+QUrl make_url(const outbound_request& request)
 {
     QUrl url;
     url.setScheme(QStringLiteral("http"));
@@ -50,24 +49,32 @@
 /// name, and queues what goes beyond. Without TLS the name has no other use, so that a name of its
 /// own gives a request a connection of its own.
 void select_connection(QNetworkRequest& request, connection_id connection,
-                       std::chrono::milliseconds idle_limit)
+                       std::chrono::seconds idle_limit)
 {
-    const auto idle_seconds = std::chrono::ceil<std::chrono::seconds>(idle_limit);
     request.setPeerVerifyName(QString::number(connection.value()));
     request.setAttribute(QNetworkRequest::ConnectionCacheExpiryTimeoutSecondsAttribute,
-                         static_cast<int>(idle_seconds.count()));
+                         static_cast<int>(idle_limit.count()));
 }
 
-QNetworkRequest make_request(const detail::http_call& call, std::chrono::milliseconds idle_limit)
+QNetworkRequest make_request(const detail::outbound_call& call,
+                             std::chrono::milliseconds idle_limit)
 {
     QNetworkRequest request(make_url(call.request));
     restrict_features(request);
-    select_connection(request, call.connection, idle_limit);
-    request.setHeader(QNetworkRequest::ContentLengthHeader,
-                      QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
-    request.setHeader(QNetworkRequest::ContentTypeHeader,
-                      QStringLiteral("application/octet-stream"));
-    for (const http_header& it : call.request->headers) {
+    const bool single = call.request->new_connection;
+    select_connection(request, call.connection,
+                      single ? std::chrono::seconds(0)
+                             : std::chrono::ceil<std::chrono::seconds>(idle_limit));
+    if (single) {
+        request.setRawHeader("Connection", "close");
+    }
+    if (call.request->method == outbound_method::post) {
+        request.setHeader(QNetworkRequest::ContentLengthHeader,
+                          QVariant::fromValue(static_cast<qint64>(call.request->body.size())));
+        request.setHeader(QNetworkRequest::ContentTypeHeader,
+                          QStringLiteral("application/octet-stream"));
+    }
+    for (const outbound_header& it : call.request->headers) {
         request.setRawHeader(QByteArray::fromStdString(it.name),
                              QByteArray::fromStdString(it.value));
     }
@@ -107,14 +114,14 @@
            reply.rawHeader("Transfer-Encoding").toLower().contains("chunked");
 }
 
-http_response read_response(QNetworkReply& reply)
+outbound_response read_response(QNetworkReply& reply)
 {
-    http_response_fields fields;
+    outbound_response_fields fields;
     fields.status = static_cast<std::uint16_t>(
         reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toUInt());
     for (const auto& [name, value] : reply.rawHeaderPairs()) {
         fields.headers.push_back(
-            http_header{.name = name.toStdString(), .value = value.toStdString()});
+            outbound_header{.name = name.toStdString(), .value = value.toStdString()});
     }
     fields.body = bytes(reply.readAll().toStdString());
     return {std::move(fields)};
@@ -127,40 +134,41 @@
            reply.header(QNetworkRequest::ContentLengthHeader).toLongLong() > allowed;
 }
 
-http_outcome read_outcome(const detail::http_call& call, std::size_t limit)
+outbound_outcome read_outcome(const detail::outbound_call& call, std::size_t limit)
 {
     QNetworkReply& reply = *call.reply;
     const bool has_status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).isValid();
     const bool broken = is_connection_error(reply.error()) && !is_unfollowed_redirect(reply);
     if (!has_status || broken) {
         const bool unsent = call.unsent() || was_refused(reply.error());
-        return unsent ? http_failure::not_sent : http_failure::connection_lost;
+        return unsent ? outbound_failure::not_sent : outbound_failure::connection_lost;
     }
     if (exceeds(reply, limit)) {
-        return http_failure::answer_too_large;
+        return outbound_failure::answer_too_large;
     }
     if (!is_delimited(reply)) {
-        return http_failure::answer_malformed;
+        return outbound_failure::answer_malformed;
     }
     return read_response(reply);
 }
 
 } // namespace
 
-http_client::http_client(const http_client_options& options, http_observer& observer)
-    : options_(options), observer_(&observer), pool_(options.idle_limit),
-      calls_(std::make_unique<detail::http_call_table>())
+outbound_client::outbound_client(const outbound_options& options, const clock_source& clock,
+                                 outbound_observer& observer)
+    : options_(options), clock_(&clock), observer_(&observer), pool_(options.idle_limit),
+      calls_(std::make_unique<detail::outbound_call_table>())
 {
     manager_.setProxy(QNetworkProxy::NoProxy);
     manager_.setAutoDeleteReplies(false);
     timer_.setSingleShot(true);
     timer_.setTimerType(Qt::PreciseTimer);
-    connect(&timer_, &QTimer::timeout, this, &http_client::on_timeout);
+    connect(&timer_, &QTimer::timeout, this, &outbound_client::on_timeout);
 }
 
-http_client::~http_client()
+outbound_client::~outbound_client()
 {
-    while (const detail::http_call_ptr call = calls_->first()) {
+    while (const detail::outbound_call_ptr call = calls_->first()) {
         call->reply->disconnect(this);
         call->reply->abort();
         delete call->reply;
@@ -168,15 +176,15 @@
     }
 }
 
-void http_client::post(http_call_id call, const http_request& request)
+void outbound_client::send(outbound_call_id call, const outbound_request& request)
 {
-    const time_point now = steady_now();
-    const time_point connected_by = now + options_.connect_limit;
-    const detail::http_call_ptr it(
-        new detail::http_call(call, request, pool_.acquire(request->server, now),
-                              std::min(connected_by, request->deadline)));
-    auto* body = new one_shot_body(request->body);
-    it->attach(manager_.post(make_request(*it, options_.idle_limit), body), body);
+    const time_point started_at = now();
+    const time_point connected_by = started_at + options_.connect_limit;
+    const connection_id connection =
+        request->new_connection ? pool_.acquire_new() : pool_.acquire(request->server, started_at);
+    const detail::outbound_call_ptr it(new detail::outbound_call(
+        call, request, connection, started_at, std::min(connected_by, request->deadline)));
+    start(*it);
     connect(it->reply, &QNetworkReply::finished, this, [this, call] { on_reply_finished(call); });
     connect(it->reply, &QNetworkReply::readyRead, this, [this, call] { on_reply_progress(call); });
     connect(it->reply, &QNetworkReply::metaDataChanged, this,
@@ -185,82 +193,100 @@
     schedule();
 }
 
-void http_client::abandon(http_call_id call)
+void outbound_client::start(detail::outbound_call& call)
+{
+    const QNetworkRequest request = make_request(call, options_.idle_limit);
+    switch (call.request->method) {
+    case outbound_method::get:
+        call.attach(manager_.get(request), nullptr);
+        return;
+    case outbound_method::remove:
+        call.attach(manager_.deleteResource(request), nullptr);
+        return;
+    case outbound_method::post:
+        break;
+    }
+    auto* body = new one_shot_body(call.request->body);
+    call.attach(manager_.post(request, body), body);
+}
+
+void outbound_client::abandon(outbound_call_id call)
 {
-    const detail::http_call_ptr it = calls_->find(call);
+    const detail::outbound_call_ptr it = calls_->find(call);
     if (it) {
-        give_up(*it, http_failure::connection_lost);
+        give_up(*it, outbound_failure::connection_lost);
     }
 }
 
-std::size_t http_client::in_progress() const noexcept
+std::size_t outbound_client::in_progress() const noexcept
 {
     return calls_->size();
 }
 
-http_client_counters http_client::counters() const noexcept
+outbound_counters outbound_client::counters() const noexcept
 {
     return {.connections_opened = pool_.opened(), .connections_renewed = renewed_};
 }
 
-void http_client::on_reply_finished(http_call_id call)
+void outbound_client::on_reply_finished(outbound_call_id call)
 {
-    const detail::http_call_ptr it = calls_->find(call);
+    const detail::outbound_call_ptr it = calls_->find(call);
     if (!it) {
         return;
     }
-    const http_outcome outcome = read_outcome(*it, options_.largest_answer);
-    const bool whole = it->reply->error() != QNetworkReply::ContentReSendError &&
-                       std::holds_alternative<http_response>(outcome);
-    if (whole) {
-        pool_.release(it->request->server, it->connection, steady_now());
+    const outbound_outcome outcome = read_outcome(*it, options_.largest_answer);
+    const bool reusable = !it->request->new_connection &&
+                          it->reply->error() != QNetworkReply::ContentReSendError &&
+                          std::holds_alternative<outbound_response>(outcome);
+    if (reusable) {
+        pool_.release(it->request->server, it->connection, now());
     }
     finish(*it, outcome);
 }
 
-void http_client::on_reply_progress(http_call_id call)
+void outbound_client::on_reply_progress(outbound_call_id call)
 {
-    const detail::http_call_ptr it = calls_->find(call);
+    const detail::outbound_call_ptr it = calls_->find(call);
     if (it && exceeds(*it->reply, options_.largest_answer)) {
-        give_up(*it, http_failure::answer_too_large);
+        give_up(*it, outbound_failure::answer_too_large);
     }
 }
 
-void http_client::on_timeout()
+void outbound_client::on_timeout()
 {
-    const time_point now = steady_now();
-    for (auto it = calls_->first_due(); it && it->due <= now; it = calls_->first_due()) {
-        if (it->request->deadline > now && !it->unsent()) {
+    const time_point checked_at = now();
+    for (auto it = calls_->first_due(); it && it->due <= checked_at; it = calls_->first_due()) {
+        if (it->request->deadline > checked_at && !it->unsent()) {
             calls_->postpone(*it, it->request->deadline);
             continue;
         }
-        pool_.renew(it->request->server);
+        pool_.renew(it->request->server, it->sent_at);
         ++renewed_;
-        give_up(*it, http_failure::no_answer);
+        give_up(*it, outbound_failure::no_answer);
     }
     schedule();
 }
 
-void http_client::give_up(detail::http_call& call, http_failure reason)
+void outbound_client::give_up(detail::outbound_call& call, outbound_failure reason)
 {
     const bool unsent = call.unsent();
     call.reply->disconnect(this);
     call.reply->abort();
-    finish(call, unsent ? http_failure::not_sent : reason);
+    finish(call, unsent ? outbound_failure::not_sent : reason);
 }
 
-void http_client::finish(detail::http_call& call, const http_outcome& outcome)
+void outbound_client::finish(detail::outbound_call& call, const outbound_outcome& outcome)
 {
-    const detail::http_call_ptr keep(&call);
+    const detail::outbound_call_ptr keep(&call);
     call.reply->deleteLater();
     calls_->erase(call);
     schedule();
     observer_->on_finished(call.id, outcome);
 }
 
-void http_client::schedule()
+void outbound_client::schedule()
 {
-    const detail::http_call_ptr first = calls_->first_due();
+    const detail::outbound_call_ptr first = calls_->first_due();
     if (!first || first->due == no_deadline) {
         timer_.stop();
         return;
@@ -269,7 +295,7 @@
         return;
     }
     wakes_at_ = first->due;
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(first->due - steady_now());
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(first->due - now());
     timer_.start(std::max(wait, timer_resolution));
 }
 
