--- a/packages/daemon/tests/http/scripted_core.hpp
+++ b/packages/daemon/tests/http/scripted_core.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "support/recording_sink.hpp"
+#include "support/event_recorder.hpp"
 
 #include <atomic>
 #include <cstddef>
@@ -9,7 +9,7 @@
 namespace papayafall::test {
 
 /// Stands for the control thread: records every event; answers requests at once when told to.
-class scripted_core final : public recording_sink {
+class scripted_core final : public event_recorder {
   public:
     /// Answers each request with the bodies of its tasks from now on.
     void echo_to(action_sink& sink) { echo_ = &sink; }
@@ -20,7 +20,7 @@
         if (const auto* it = std::get_if<request_received>(&incoming); it != nullptr && echo) {
             echo->post(answer_call{it->call, echo_of(it->content)});
         }
-        recording_sink::post(std::move(incoming));
+        event_recorder::post(std::move(incoming));
     }
 
     /// Waits for the event of type `Event` with number `n`, from 0; empty when it does not come.
--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -4,7 +4,7 @@
 
 #include "http/raw_client.hpp"
 #include "http/scripted_core.hpp"
-#include "support/qt_application.hpp"
+#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -47,16 +47,24 @@
 /// A running front end with a scripted core behind it.
 class fixture {
   public:
-    explicit fixture(const front_end_options& options = {}) : front(options, clock, core, registry)
+    explicit fixture(const front_end_options& options = {})
+        : front(prepared(options), clock, core, registry)
     {
         front.start();
     }
 
-    QCoreApplication& application = qt_application();
     system_clock_source clock;
     scripted_core core;
     prometheus::Registry registry;
     front_end front;
+
+  private:
+    /// Makes the application object before the first thread is.
+    static const front_end_options& prepared(const front_end_options& options)
+    {
+        ensure_application();
+        return options;
+    }
 };
 
 class calls_test : public CppUnit::TestFixture {
--- a/packages/daemon/tests/http/unit-front_end_tls.cpp
+++ b/packages/daemon/tests/http/unit-front_end_tls.cpp
@@ -4,7 +4,7 @@
 #include "http/raw_client.hpp"
 #include "http/scripted_core.hpp"
 #include "http/test_certificates.hpp"
-#include "support/qt_application.hpp"
+#include "support/test_application.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -76,7 +76,7 @@
     CPPUNIT_TEST_SUITE_END();
 
   public:
-    void setUp() override { qt_application(); }
+    void setUp() override { ensure_application(); }
 
     void reloaded_certificate_is_shown_to_new_connections()
     {
