--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -47,17 +47,24 @@
 /// A running front end with a scripted core behind it.
 class fixture {
   public:
-    explicit fixture(const front_end_options& options = {}) : front(options, clock, core, registry)
+    explicit fixture(const front_end_options& options = {})
+        : front(prepared(options), clock, core, registry)
     {
         front.start();
     }
 
-    ensure_application();
-    QCoreApplication& application = *QCoreApplication::instance();
     system_clock_source clock;
     scripted_core core;
     prometheus::Registry registry;
     front_end front;
+
+  private:
+    /// Makes the application object before the first thread is.
+    static const front_end_options& prepared(const front_end_options& options)
+    {
+        ensure_application();
+        return options;
+    }
 };
 
 class calls_test : public CppUnit::TestFixture {
