--- a/packages/cli/include/papayafall/cli/load/load_command.hpp
+++ b/packages/cli/include/papayafall/cli/load/load_command.hpp
@@ -29,6 +29,7 @@
     load_plan plan_;
     std::vector<std::string> hosts_;
     std::vector<std::string> services_{"quote"};
+    std::string long_service_;
     std::string team_;
     std::string profile_ = "wave";
     double seconds_ = 30;
--- a/packages/cli/include/papayafall/cli/load/load_plan.hpp
+++ b/packages/cli/include/papayafall/cli/load/load_plan.hpp
@@ -26,6 +26,8 @@
 struct load_plan {
     std::vector<endpoint> hosts;
     std::vector<service_name> services{service_name("quote")};
+    /// Service of the requests with a long task; empty: any of `services`.
+    service_name long_service;
     team_name team;
     host_choice choice = host_choice::round_robin;
     load_profile_kind profile = load_profile_kind::wave;
@@ -33,6 +35,7 @@
     std::chrono::milliseconds length{30'000};
     std::chrono::milliseconds time_limit{1000}; ///< beside twice the run time of the request
     double time_scale = 1;                      ///< multiplies run times and time limits
+    bool short_only = false;                    ///< gives tasks that would be long a short run time
     double job_share = 0.1;
     std::uint32_t largest_job = 20;
     double keyed_share = 0.3;
--- a/packages/cli/src/load/load_command.cpp
+++ b/packages/cli/src/load/load_command.cpp
@@ -88,6 +88,8 @@
         "--random-hosts", [this] { plan_.choice = host_choice::random; },
         "choose the entry host at random rather than in turn");
     app.add_option("--service", services_, "service to call; may be repeated");
+    app.add_option("--long-service", long_service_,
+                   "service of the requests with a long task; default: as the others");
     app.add_option("--team", team_, "team that submits");
 }
 
@@ -110,6 +112,7 @@
                    "time limit of a request, beside twice its run time")
         ->check(CLI::PositiveNumber)
         ->capture_default_str();
+    app.add_flag("--short-only", plan_.short_only, "offer no task of 2 s or more");
     app.add_option("--largest-job", plan_.largest_job, "most tasks of a job")
         ->check(CLI::Range(1, static_cast<int>(max_tasks_per_job)))
         ->capture_default_str();
@@ -138,6 +141,7 @@
     for (const std::string& it : services_) {
         plan.services.emplace_back(it);
     }
+    plan.long_service = service_name(long_service_);
     plan.team = team_name(team_);
     plan.profile = parse_profile(profile_);
     plan.length = std::chrono::milliseconds(std::llround(seconds_ * 1000));
--- a/packages/cli/src/load/planned_request.cpp
+++ b/packages/cli/src/load/planned_request.cpp
@@ -92,6 +92,9 @@
             .keyed = chance(plan_.keyed_share),
         };
         add_tasks(fields);
+        if (fields.run == run_class::long_run && !plan_.long_service.empty()) {
+            fields.service = plan_.long_service;
+        }
         add_resubmission(fields);
         add_cancellation(fields);
         return {std::move(fields)};
@@ -138,7 +141,7 @@
 
     double choose_run_time()
     {
-        double left = uniform(0, 1);
+        double left = uniform(0, plan_.short_only ? run_time_mix.front().share : 1);
         for (const run_time_range& it : run_time_mix) {
             left -= it.share;
             if (left < 0) {
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -1,4 +1,8 @@
 #include "papayafall/cli/commands/check_settings_command.hpp"
+#include "papayafall/cli/commands/confirm_command.hpp"
+#include "papayafall/cli/commands/history_command.hpp"
+#include "papayafall/cli/commands/plan_command.hpp"
+#include "papayafall/cli/commands/show_command.hpp"
 #include "papayafall/cli/commands/submit_command.hpp"
 #include "papayafall/cli/load/load_command.hpp"
 #include "papayafall/core/errors/exception.hpp"
@@ -41,6 +45,10 @@
     commands.push_back(std::make_unique<submit_command>());
     commands.push_back(std::make_unique<check_settings_command>());
     commands.push_back(std::make_unique<load_command>());
+    commands.push_back(std::make_unique<plan_command>(std::cout));
+    commands.push_back(std::make_unique<confirm_command>(std::cout));
+    commands.push_back(std::make_unique<show_command>(std::cout));
+    commands.push_back(std::make_unique<history_command>(std::cout));
     return commands;
 }
 
@@ -66,6 +74,7 @@
     app.require_subcommand(1);
     const std::vector<std::unique_ptr<command>> commands = make_commands();
     std::vector<CLI::App*> parsers;
+    parsers.reserve(commands.size());
     for (const auto& it : commands) {
         parsers.push_back(it->attach(app));
     }
--- a/packages/cli/tests/load/unit-load.cpp
+++ b/packages/cli/tests/load/unit-load.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST_SUITE(load_test);
     CPPUNIT_TEST(same_seed_gives_the_same_requests);
     CPPUNIT_TEST(rate_swings_by_four);
+    CPPUNIT_TEST(long_work_has_its_service_or_is_left_out);
     CPPUNIT_TEST(resubmission_goes_to_another_host_with_a_key);
     CPPUNIT_TEST(quantiles_are_exact);
     CPPUNIT_TEST(answer_to_another_request_is_wrong);
@@ -138,6 +139,23 @@
         CPPUNIT_ASSERT(calm > 1850 && calm < 2150);
     }
 
+    void long_work_has_its_service_or_is_left_out()
+    {
+        load_plan plan = small_plan();
+        plan.long_service = service_name("survey");
+        std::size_t long_requests = 0;
+        for (const planned_request& it : plan_requests(plan)) {
+            const bool is_long = it->run == run_class::long_run;
+            long_requests += is_long ? 1 : 0;
+            CPPUNIT_ASSERT_EQUAL(is_long, it->service == plan.long_service);
+        }
+        CPPUNIT_ASSERT(long_requests > 0);
+        plan.short_only = true;
+        for (const planned_request& it : plan_requests(plan)) {
+            CPPUNIT_ASSERT(it->run == run_class::short_run);
+        }
+    }
+
     void resubmission_goes_to_another_host_with_a_key()
     {
         std::size_t resubmitted = 0;
