Count failed delegations; report useful work and mean excess in load runs

A delegation that a peer returned without an answer was not counted anywhere, so that wasted messages were understated. load sums the run times offered and answered in time, for the share of capacity. unit-load: 11 pass.

--- a/packages/cli/include/papayafall/cli/load/load_summary.hpp
+++ b/packages/cli/include/papayafall/cli/load/load_summary.hpp
@@ -9,9 +9,10 @@
 
 namespace papayafall {
 
-/// Exact quantiles of a set of times.
+/// Mean and exact quantiles of a set of times.
 struct load_quantiles {
     std::uint64_t count = 0;
+    duration mean{};
     duration p50{};
     duration p99{};
     duration p999{};
@@ -28,6 +29,8 @@
     std::string name;
     std::uint64_t count = 0;
     std::map<load_outcome, std::uint64_t> outcomes;
+    duration offered_work{}; ///< sum of the run times of all tasks
+    duration useful_work{};  ///< as above, of the requests that were answered in time
     load_quantiles response; ///< of whole answers
     /// Response time beyond the longest run time of a task and one round trip; of whole answers.
     load_quantiles excess;
--- a/packages/cli/src/load/load_report.cpp
+++ b/packages/cli/src/load/load_report.cpp
@@ -42,6 +42,7 @@
 json encode(const load_quantiles& it)
 {
     return {{"count", it.count},
+            {"mean", milliseconds(it.mean)},
             {"p50", milliseconds(it.p50)},
             {"p99", milliseconds(it.p99)},
             {"p99.9", milliseconds(it.p999)},
@@ -61,6 +62,8 @@
             {"count", group.count},
             {"outcomes", std::move(counts)},
             {"shares", std::move(shares)},
+            {"offered_work_ms", milliseconds(group.offered_work)},
+            {"useful_work_ms", milliseconds(group.useful_work)},
             {"response_ms", encode(group.response)},
             {"excess_ms", encode(group.excess)},
             {"response_over_ideal",
--- a/packages/cli/src/load/load_summary.cpp
+++ b/packages/cli/src/load/load_summary.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <numeric>
 
 namespace papayafall {
 
@@ -32,6 +33,15 @@
     return sample.request->longest_run + round_trip;
 }
 
+duration work_of(const load_sample& sample)
+{
+    duration sum{};
+    for (const planned_task& it : sample.request->tasks) {
+        sum += it.run_time;
+    }
+    return sum;
+}
+
 load_group make_group(std::string name, const std::vector<load_sample>& samples,
                       duration round_trip, const sample_filter& belongs)
 {
@@ -45,6 +55,9 @@
         }
         ++group.count;
         ++group.outcomes[it.outcome];
+        const duration work = work_of(it);
+        group.offered_work += work;
+        group.useful_work += it.outcome == load_outcome::in_time ? work : duration{};
         if (!is_whole(it.outcome)) {
             continue;
         }
@@ -128,7 +141,10 @@
 load_quantiles make_quantiles(std::vector<duration> times)
 {
     std::ranges::sort(times);
+    const duration sum = std::accumulate(times.begin(), times.end(), duration{});
+    const auto count = static_cast<std::int64_t>(std::max(times.size(), std::size_t{1}));
     return {.count = times.size(),
+            .mean = sum / count,
             .p50 = quantile(times, 0.5),
             .p99 = quantile(times, 0.99),
             .p999 = quantile(times, 0.999),
--- a/packages/cli/tests/load/unit-load.cpp
+++ b/packages/cli/tests/load/unit-load.cpp
@@ -178,6 +178,7 @@
             times.emplace_back(n);
         }
         const load_quantiles quantiles = make_quantiles(times);
+        CPPUNIT_ASSERT(quantiles.mean == duration(500));
         CPPUNIT_ASSERT(quantiles.p50 == duration(500));
         CPPUNIT_ASSERT(quantiles.p99 == duration(990));
         CPPUNIT_ASSERT(quantiles.p999 == duration(999));
--- a/packages/daemon/include/papayafall/daemon/control/action_router.hpp
+++ b/packages/daemon/include/papayafall/daemon/control/action_router.hpp
@@ -30,9 +30,11 @@
 
   private:
     void route(action requested);
+    void count_delegation(const action& requested);
 
     action_targets targets_;
     std::array<prometheus::Counter*, std::variant_size_v<action>> counters_{};
+    prometheus::Counter* unanswered_delegations_ = nullptr;
 };
 
 } // namespace papayafall
--- a/packages/daemon/src/control/action_router.cpp
+++ b/packages/daemon/src/control/action_router.cpp
@@ -49,6 +49,12 @@
                        .Name("papayafall_actions_total")
                        .Help("Actions that the core asked for, by kind")
                        .Register(registry);
+    unanswered_delegations_ =
+        &prometheus::BuildCounter()
+             .Name("papayafall_delegations_failed_total")
+             .Help("Tasks of peers that were returned to them without the answer of a target")
+             .Register(registry)
+             .Add({});
     for (std::size_t n = 0; n < routes.size(); ++n) {
         counters_.at(n) = &family.Add({{"kind", routes.at(n).name}});
     }
@@ -57,9 +63,18 @@
 void action_router::post(action requested)
 {
     counters_.at(requested.index())->Increment();
+    count_delegation(requested);
     route(std::move(requested));
 }
 
+void action_router::count_delegation(const action& requested)
+{
+    const auto* it = std::get_if<answer_delegation>(&requested);
+    if (it != nullptr && std::holds_alternative<failure>(it->result)) {
+        unanswered_delegations_->Increment();
+    }
+}
+
 void action_router::route(action requested)
 {
     switch (routes.at(requested.index()).to) {
