Register plan, confirm, show and history; map every error to its exit code

The operators' commands were built and tested as classes but not registered in papayafall. The exit code of a failure moves to exit_codes.cpp as a switch without a default, so that a new error_id without an exit code does not compile.

The load generator and scripts that apply configuration may use these commands from here on.

--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -1,5 +1,10 @@
 #include "papayafall/cli/commands/check_settings_command.hpp"
+#include "papayafall/cli/commands/confirm_command.hpp"
+#include "papayafall/cli/commands/history_command.hpp"
+#include "papayafall/cli/commands/plan_command.hpp"
+#include "papayafall/cli/commands/show_command.hpp"
 #include "papayafall/cli/commands/submit_command.hpp"
+#include "papayafall/cli/exit_codes.hpp"
 #include "papayafall/cli/load/load_command.hpp"
 #include "papayafall/core/errors/exception.hpp"
 
@@ -13,32 +18,14 @@
 
 using namespace papayafall;
 
-exit_code exit_code_of(error_id id) noexcept
-{
-    switch (id) {
-    case error_id::malformed_request:
-    case error_id::invalid_settings:
-    case error_id::invalid_configuration:
-        return exit_code::usage;
-    case error_id::home_unreachable:
-    case error_id::platform_unavailable:
-        return exit_code::unavailable;
-    case error_id::plan_conflict:
-    case error_id::plan_stale:
-    case error_id::platform_conflict:
-        return exit_code::conflict;
-    case error_id::invariant_violated:
-    case error_id::section_ownership:
-        return exit_code::internal;
-    default:
-        return exit_code::refused;
-    }
-}
-
 std::vector<std::unique_ptr<command>> make_commands()
 {
     std::vector<std::unique_ptr<command>> commands;
     commands.push_back(std::make_unique<submit_command>());
+    commands.push_back(std::make_unique<plan_command>(std::cout));
+    commands.push_back(std::make_unique<confirm_command>(std::cout));
+    commands.push_back(std::make_unique<show_command>(std::cout));
+    commands.push_back(std::make_unique<history_command>(std::cout));
     commands.push_back(std::make_unique<check_settings_command>());
     commands.push_back(std::make_unique<load_command>());
     return commands;
