Tell in the random runs what each host could know of a leaving target

The check now looks at each host: it fails 5 s after the host could read the platform again (before: any disturbance anywhere excused every host), and at once when the host has handled a list that names the target as leaving (before: never within the 5 s).

It handed over what a paused process had received one event at a time, each with a tick, so that the core decided to stop between two received requests. The daemon drains its whole mailbox before a tick (engine::handle of a batch), and the model does the same now. Which answers were only relayed is told from the forwards of the batch, call by call.

--- a/packages/core/tests/random/host_process.hpp
+++ b/packages/core/tests/random/host_process.hpp
@@ -22,7 +22,9 @@
     duration steady_offset{};               ///< its monotonic clock less virtual time
     std::chrono::milliseconds wall_error{}; ///< its wall clock less true time
     time_point paused_until{};
-    std::vector<event> inbox; ///< what arrived while paused
+    time_point cut_off_until{}; ///< it ran and reached the platform without a break since then
+    time_point listed_at{};     ///< instant of the newest host list that it handled
+    std::vector<event> inbox;   ///< what arrived while paused
     bool watching = false;
     bool session_open = false;
     bool stopping = false;
--- a/packages/core/tests/random/target_model.cpp
+++ b/packages/core/tests/random/target_model.cpp
@@ -1,5 +1,7 @@
 #include "random/target_model.hpp"
 
+#include <algorithm>
+
 namespace papayafall::random_runs {
 
 namespace {
@@ -14,15 +16,11 @@
     targets_[entry.name] = target_model{.entry = entry};
 }
 
-void target_fleet::arrive(const target_name& name, const std::string& body, bool fresh,
-                          const reply& answer)
+void target_fleet::arrive(const target_name& name, const std::string& body,
+                          const sender_knowledge& known, const reply& answer)
 {
     target_model& target = targets_.at(name);
-    if (target.leaving && fresh && time_.now() > target.left_at + leaving_limit) {
-        throw violation("leaving target " + name.text() + " got new work " +
-                        std::to_string((time_.now() - target.left_at).count()) + " us later" +
-                        seen_.trace(body.substr(0, body.find('/'))));
-    }
+    check_not_left(target, body, known);
     if (target.mode == target_mode::refuse || target.busy >= target.entry.slots) {
         answer(target_refused{.leaving = false});
         return;
@@ -44,6 +42,25 @@
     });
 }
 
+void target_fleet::check_not_left(const target_model& target, const std::string& body,
+                                  const sender_knowledge& known) const
+{
+    if (!target.leaving) {
+        return;
+    }
+    const time_point since = std::max(target.left_at, known.informed_since);
+    if (known.listed_at > target.left_at) {
+        throw violation("leaving target " + target.entry.name.text() +
+                        " got new work from a host that had read so" +
+                        seen_.trace(body.substr(0, body.find('/'))));
+    }
+    if (time_.now() > since + leaving_limit) {
+        throw violation("leaving target " + target.entry.name.text() + " got new work " +
+                        std::to_string((time_.now() - target.left_at).count()) + " us later" +
+                        seen_.trace(body.substr(0, body.find('/'))));
+    }
+}
+
 target_model& target_fleet::at(std::size_t index)
 {
     auto it = targets_.begin();
--- a/packages/core/tests/random/target_model.hpp
+++ b/packages/core/tests/random/target_model.hpp
@@ -22,6 +22,12 @@
     time_point left_at{};
 };
 
+/// What the sender of a task could know of its target.
+struct sender_knowledge {
+    time_point listed_at{};      ///< instant of the newest host list that it handled
+    time_point informed_since{}; ///< it ran and reached the platform without a break since then
+};
+
 /// All targets of a run; they run tasks in virtual time and may fail in every way.
 class target_fleet {
   public:
@@ -35,8 +41,9 @@
     void add(const target_entry& entry);
 
     /// A task arrives at the target; `answer` is called at most once, never for a silent target.
-    /// @param fresh the sender had every means to know that the target is leaving
-    void arrive(const target_name& name, const std::string& body, bool fresh, const reply& answer);
+    /// @param known what the sender could know of the target when it sent the task
+    void arrive(const target_name& name, const std::string& body, const sender_knowledge& known,
+                const reply& answer);
 
     target_model& at(std::size_t index);
 
@@ -48,6 +55,8 @@
     void heal();
 
   private:
+    void check_not_left(const target_model& target, const std::string& body,
+                        const sender_knowledge& known) const;
     duration run_time(const target_model& target);
 
     schedule& time_;
--- a/packages/core/tests/random/world.cpp
+++ b/packages/core/tests/random/world.cpp
@@ -60,6 +60,23 @@
     return "key " + std::get<caller_key>(*key).text;
 }
 
+/// The calls whose answers another host decided, among those that `incoming` will close.
+std::set<call_id> relayed_calls(const blackboard& board, const std::vector<event>& incoming)
+{
+    std::set<call_id> calls;
+    for (const event& it : incoming) {
+        const auto* answered = std::get_if<forward_answered>(&it);
+        const forward_state* state =
+            answered == nullptr ? nullptr : board.forwards.find(answered->correlation);
+        const auto* origin =
+            state == nullptr ? nullptr : std::get_if<local_origin>(&(*state)->origin);
+        if (origin != nullptr) {
+            calls.insert(origin->call);
+        }
+    }
+    return calls;
+}
+
 time_point moved(time_point deadline, const host_process& from, const host_process& to)
 {
     return deadline == no_deadline ? deadline : deadline - from.steady_offset + to.steady_offset;
@@ -133,6 +150,8 @@
     host.session_open = false;
     host.stopping = false;
     host.paused_until = time_point{};
+    host.cut_off_until = time_.now();
+    host.listed_at = time_point{};
     const auto port = static_cast<std::uint16_t>(first_port + host.number);
     host.core =
         make_engine(self_state_fields{.host = host.name,
@@ -165,16 +184,13 @@
     }
     const duration length = chance_.milliseconds(50, 15'000);
     host.paused_until = time_.now() + length;
+    cut_off(host, length);
     disturb(length);
     time_.after(length, [this, &host, id = host.id()] {
         if (host.id() != id || !host.core || time_.now() < host.paused_until) {
             return;
         }
-        for (const event& it : std::exchange(host.inbox, {})) {
-            if (host.core) {
-                handle(host, it);
-            }
-        }
+        handle(host, std::exchange(host.inbox, {}));
     });
 }
 
@@ -196,7 +212,7 @@
     }
     if (time_.now() >= host.paused_until) {
         host.core->tick(host.read(time_.now()));
-        pass_on(host, false);
+        pass_on(host, {});
     }
     time_.after(std::chrono::milliseconds(20),
                 [this, &host, incarnation] { keep_ticking(host, incarnation); });
@@ -245,6 +261,9 @@
                                    .zone = it.zone,
                                    .datagrams = {.address = it.name.text(), .port = port}});
         }
+        if (time_.now() >= host.paused_until) {
+            host.listed_at = time_.now();
+        }
         deliver(host.id(), host_list_received{hosts});
         if (host.watching) {
             deliver(host.id(), configuration_received{platform_.current()});
@@ -274,18 +293,20 @@
         host->inbox.push_back(incoming);
         return;
     }
-    handle(*host, incoming);
+    handle(*host, std::vector<event>{incoming});
 }
 
-void world::handle(host_process& host, const event& incoming)
+/// Hands over events together, as the control thread does with all that its mailbox holds.
+void world::handle(host_process& host, const std::vector<event>& incoming)
 {
-    ++summary_.events;
+    summary_.events += incoming.size();
+    const std::set<call_id> relayed = relayed_calls(host.core->board(), incoming);
     host.core->handle(incoming, host.read(time_.now()));
     host.core->board().check_invariants();
-    pass_on(host, std::holds_alternative<forward_answered>(incoming));
+    pass_on(host, relayed);
 }
 
-void world::pass_on(host_process& host, bool relayed)
+void world::pass_on(host_process& host, const std::set<call_id>& relayed)
 {
     for (const action& it : host.core->take_actions()) {
         if (!host.core) {
@@ -297,10 +318,10 @@
 
 // Actions of a core
 
-void world::act(host_process& host, const action& requested, bool relayed)
+void world::act(host_process& host, const action& requested, const std::set<call_id>& relayed)
 {
     if (const auto* answered = std::get_if<answer_call>(&requested)) {
-        act(host, *answered, relayed);
+        act(host, *answered, relayed.contains(answered->call));
         return;
     }
     if (const auto* watch = std::get_if<watch_configuration>(&requested)) {
@@ -381,8 +402,7 @@
         return;
     }
     const bool answer_lost = chance_.percent(2);
-    const bool fresh =
-        time_.now() > disturbed_until_ && time_.now() > host.started_at + std::chrono::seconds(5);
+    const sender_knowledge known{.listed_at = host.listed_at, .informed_since = host.cut_off_until};
     const std::string body(it.work->body.view());
     note(
         body.substr(0, body.find('/')),
@@ -390,8 +410,8 @@
             std::to_string(static_cast<int>((*host.core->board().targets.find(it.target))->stage)));
     const duration waits = it.deadline - host.read(time_.now()).steady;
     time_.after(waits + duration(1000), [reply] { reply(no_answer{}); });
-    time_.after(delay(), [this, target = it.target, body, fresh, answer_lost, reply] {
-        targets_.arrive(target, body, fresh, [reply, answer_lost](const exchange_outcome& outcome) {
+    time_.after(delay(), [this, target = it.target, body, known, answer_lost, reply] {
+        targets_.arrive(target, body, known, [reply, answer_lost](const exchange_outcome& outcome) {
             reply(answer_lost ? exchange_outcome(connection_lost{}) : outcome);
         });
     });
@@ -746,6 +766,11 @@
     }
 }
 
+void world::cut_off(host_process& host, duration length)
+{
+    host.cut_off_until = std::max(host.cut_off_until, time_.now() + length);
+}
+
 void world::cut_zones()
 {
     const std::pair zones{any_host().zone, any_host().zone};
@@ -763,11 +788,19 @@
     disturb(length);
     if (chance_.percent(50)) {
         platform_.up = false;
+        for (host_process& it : hosts_) {
+            cut_off(it, length);
+        }
         time_.after(length, [this] { platform_.up = true; });
         return;
     }
     const zone_name zone = any_host().zone;
     platform_.cut.insert(zone);
+    for (host_process& it : hosts_) {
+        if (it.zone == zone) {
+            cut_off(it, length);
+        }
+    }
     time_.after(length, [this, zone] { platform_.cut.erase(zone); });
 }
 
--- a/packages/core/tests/random/world.hpp
+++ b/packages/core/tests/random/world.hpp
@@ -74,11 +74,11 @@
     void keep_reading(host_process& host, incarnation_id incarnation);
     host_process* find(const peer_id& id);
     void deliver(const peer_id& id, const event& incoming);
-    void handle(host_process& host, const event& incoming);
-    void pass_on(host_process& host, bool relayed);
+    void handle(host_process& host, const std::vector<event>& incoming);
+    void pass_on(host_process& host, const std::set<call_id>& relayed);
 
     // actions of a core
-    void act(host_process& host, const action& requested, bool relayed);
+    void act(host_process& host, const action& requested, const std::set<call_id>& relayed);
     void act(host_process& host, const answer_call& it, bool relayed);
     void act(host_process& host, const issue_tickets& it);
     void act(host_process& host, const forward_request& it);
@@ -117,6 +117,7 @@
     // faults
     void keep_failing(time_point end);
     void inject();
+    void cut_off(host_process& host, duration length);
     void cut_zones();
     void cut_platform();
     void change_target();
