--- a/packages/core/tests/random/world.cpp
+++ b/packages/core/tests/random/world.cpp
@@ -133,6 +133,8 @@
     host.session_open = false;
     host.stopping = false;
     host.paused_until = time_point{};
+    host.cut_off_until = time_.now();
+    host.listed_at = time_point{};
     const auto port = static_cast<std::uint16_t>(first_port + host.number);
     host.core =
         make_engine(self_state_fields{.host = host.name,
@@ -165,17 +167,13 @@
     }
     const duration length = chance_.milliseconds(50, 15'000);
     host.paused_until = time_.now() + length;
+    cut_off(host, length);
     disturb(length);
     time_.after(length, [this, &host, id = host.id()] {
         if (host.id() != id || !host.core || time_.now() < host.paused_until) {
             return;
         }
-        // As the control thread does: all that has arrived is one batch.
-        const std::vector<event> batch = std::exchange(host.inbox, {});
-        summary_.events += batch.size();
-        host.core->handle(batch, host.read(time_.now()));
-        host.core->board().check_invariants();
-        pass_on(host);
+        handle(host, std::exchange(host.inbox, {}));
     });
 }
 
@@ -246,6 +244,9 @@
                                    .zone = it.zone,
                                    .datagrams = {.address = it.name.text(), .port = port}});
         }
+        if (time_.now() >= host.paused_until) {
+            host.listed_at = time_.now();
+        }
         deliver(host.id(), host_list_received{hosts});
         if (host.watching) {
             deliver(host.id(), configuration_received{platform_.current()});
@@ -275,12 +276,13 @@
         host->inbox.push_back(incoming);
         return;
     }
-    handle(*host, incoming);
+    handle(*host, std::vector<event>{incoming});
 }
 
-void world::handle(host_process& host, const event& incoming)
+/// Hands over events together, as the control thread does with all that its mailbox holds.
+void world::handle(host_process& host, const std::vector<event>& incoming)
 {
-    ++summary_.events;
+    summary_.events += incoming.size();
     host.core->handle(incoming, host.read(time_.now()));
     host.core->board().check_invariants();
     pass_on(host);
@@ -383,8 +385,7 @@
         return;
     }
     const bool answer_lost = chance_.percent(2);
-    const bool fresh =
-        time_.now() > disturbed_until_ && time_.now() > host.started_at + std::chrono::seconds(5);
+    const sender_knowledge known{.listed_at = host.listed_at, .informed_since = host.cut_off_until};
     const std::string body(it.work->body.view());
     note(
         body.substr(0, body.find('/')),
@@ -392,8 +393,8 @@
             std::to_string(static_cast<int>((*host.core->board().targets.find(it.target))->stage)));
     const duration waits = it.deadline - host.read(time_.now()).steady;
     time_.after(waits + duration(1000), [reply] { reply(no_answer{}); });
-    time_.after(delay(), [this, target = it.target, body, fresh, answer_lost, reply] {
-        targets_.arrive(target, body, fresh, [reply, answer_lost](const exchange_outcome& outcome) {
+    time_.after(delay(), [this, target = it.target, body, known, answer_lost, reply] {
+        targets_.arrive(target, body, known, [reply, answer_lost](const exchange_outcome& outcome) {
             reply(answer_lost ? exchange_outcome(connection_lost{}) : outcome);
         });
     });
@@ -749,6 +750,11 @@
     }
 }
 
+void world::cut_off(host_process& host, duration length)
+{
+    host.cut_off_until = std::max(host.cut_off_until, time_.now() + length);
+}
+
 void world::cut_zones()
 {
     const std::pair zones{any_host().zone, any_host().zone};
@@ -766,11 +772,19 @@
     disturb(length);
     if (chance_.percent(50)) {
         platform_.up = false;
+        for (host_process& it : hosts_) {
+            cut_off(it, length);
+        }
         time_.after(length, [this] { platform_.up = true; });
         return;
     }
     const zone_name zone = any_host().zone;
     platform_.cut.insert(zone);
+    for (host_process& it : hosts_) {
+        if (it.zone == zone) {
+            cut_off(it, length);
+        }
+    }
     time_.after(length, [this, zone] { platform_.cut.erase(zone); });
 }
 
--- a/packages/core/tests/random/world.hpp
+++ b/packages/core/tests/random/world.hpp
@@ -75,7 +75,7 @@
     void keep_reading(host_process& host, incarnation_id incarnation);
     host_process* find(const peer_id& id);
     void deliver(const peer_id& id, const event& incoming);
-    void handle(host_process& host, const event& incoming);
+    void handle(host_process& host, const std::vector<event>& incoming);
     void pass_on(host_process& host);
 
     // actions of a core
@@ -118,6 +118,7 @@
     // faults
     void keep_failing(time_point end);
     void inject();
+    void cut_off(host_process& host, duration length);
     void cut_zones();
     void cut_platform();
     void change_target();
