--- a/packages/daemon/include/papayafall/daemon/peers/qt_message_authenticator.hpp
+++ b/packages/daemon/include/papayafall/daemon/peers/qt_message_authenticator.hpp
@@ -10,7 +10,7 @@
 /// Smallest shared key in bytes.
 inline constexpr std::size_t min_shared_key_size = 16;
 
-/// HMAC-SHA-256, truncated to 128 bits (RFC 2104, section 5).
+/// HMAC (RFC 2104) with BLAKE2b-256, truncated to 128 bits.
 class qt_message_authenticator : public message_authenticator {
   public:
     /// @throws configuration_error `invalid_settings` when the key is too short
--- a/packages/daemon/src/peers/qt_message_authenticator.cpp
+++ b/packages/daemon/src/peers/qt_message_authenticator.cpp
@@ -31,7 +31,7 @@
 authentication_tag qt_message_authenticator::sign(std::string_view context,
                                                   std::string_view message) const
 {
-    QMessageAuthenticationCode code(QCryptographicHash::Sha256, key_);
+    QMessageAuthenticationCode code(QCryptographicHash::Blake2b_256, key_);
     code.addData(context.data(), static_cast<qsizetype>(context.size()));
     code.addData(message.data(), static_cast<qsizetype>(message.size()));
     const QByteArray hash = code.result();
--- a/packages/daemon/tests/peers/unit-peer_links.cpp
+++ b/packages/daemon/tests/peers/unit-peer_links.cpp
@@ -354,7 +354,8 @@
         std::mt19937 random(12);
         QUdpSocket socket;
         for (std::size_t n = 0; n < 50; ++n) {
-            std::string data(random() % (2 * max_datagram_size), '\1');
+            std::string data(random() % (2 * max_datagram_size),
+                             static_cast<char>(peer_protocol_version));
             std::generate(data.begin() + 1, data.end(),
                           [&random] { return static_cast<char>(random()); });
             socket.writeDatagram(data.data(), static_cast<qint64>(data.size()),
