--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -28,6 +28,10 @@
     commands.push_back(std::make_unique<history_command>(std::cout));
     commands.push_back(std::make_unique<check_settings_command>());
     commands.push_back(std::make_unique<load_command>());
+    commands.push_back(std::make_unique<plan_command>(std::cout));
+    commands.push_back(std::make_unique<confirm_command>(std::cout));
+    commands.push_back(std::make_unique<show_command>(std::cout));
+    commands.push_back(std::make_unique<history_command>(std::cout));
     return commands;
 }
 
@@ -53,6 +57,7 @@
     app.require_subcommand(1);
     const std::vector<std::unique_ptr<command>> commands = make_commands();
     std::vector<CLI::App*> parsers;
+    parsers.reserve(commands.size());
     for (const auto& it : commands) {
         parsers.push_back(it->attach(app));
     }
