--- a/packages/core/tests/random/world.cpp
+++ b/packages/core/tests/random/world.cpp
@@ -133,6 +133,8 @@
     host.session_open = false;
     host.stopping = false;
     host.paused_until = time_point{};
+    host.cut_off_until = time_.now();
+    host.listed_at = time_point{};
     const auto port = static_cast<std::uint16_t>(first_port + host.number);
     host.core =
         make_engine(self_state_fields{.host = host.name,
@@ -165,16 +167,13 @@
     }
     const duration length = chance_.milliseconds(50, 15'000);
     host.paused_until = time_.now() + length;
+    cut_off(host, length);
     disturb(length);
     time_.after(length, [this, &host, id = host.id()] {
         if (host.id() != id || !host.core || time_.now() < host.paused_until) {
             return;
         }
-        for (const event& it : std::exchange(host.inbox, {})) {
-            if (host.core) {
-                handle(host, it);
-            }
-        }
+        handle(host, std::exchange(host.inbox, {}));
     });
 }
 
@@ -196,7 +195,7 @@
     }
     if (time_.now() >= host.paused_until) {
         host.core->tick(host.read(time_.now()));
-        pass_on(host, false);
+        pass_on(host);
     }
     time_.after(std::chrono::milliseconds(20),
                 [this, &host, incarnation] { keep_ticking(host, incarnation); });
@@ -245,6 +244,9 @@
                                    .zone = it.zone,
                                    .datagrams = {.address = it.name.text(), .port = port}});
         }
+        if (time_.now() >= host.paused_until) {
+            host.listed_at = time_.now();
+        }
         deliver(host.id(), host_list_received{hosts});
         if (host.watching) {
             deliver(host.id(), configuration_received{platform_.current()});
@@ -274,35 +276,32 @@
         host->inbox.push_back(incoming);
         return;
     }
-    handle(*host, incoming);
+    handle(*host, std::vector<event>{incoming});
 }
 
-void world::handle(host_process& host, const event& incoming)
+/// Hands over events together, as the control thread does with all that its mailbox holds.
+void world::handle(host_process& host, const std::vector<event>& incoming)
 {
-    ++summary_.events;
+    summary_.events += incoming.size();
     host.core->handle(incoming, host.read(time_.now()));
     host.core->board().check_invariants();
-    pass_on(host, std::holds_alternative<forward_answered>(incoming));
+    pass_on(host);
 }
 
-void world::pass_on(host_process& host, bool relayed)
+void world::pass_on(host_process& host)
 {
     for (const action& it : host.core->take_actions()) {
         if (!host.core) {
             return;
         }
-        act(host, it, relayed);
+        carry_out(host, it);
     }
 }
 
 // Actions of a core
 
-void world::act(host_process& host, const action& requested, bool relayed)
+void world::carry_out(host_process& host, const action& requested)
 {
-    if (const auto* answered = std::get_if<answer_call>(&requested)) {
-        act(host, *answered, relayed);
-        return;
-    }
     if (const auto* watch = std::get_if<watch_configuration>(&requested)) {
         host.watching = watch->enabled;
         return;
@@ -316,15 +315,15 @@
         requested);
 }
 
-void world::act(host_process& host, const answer_call& it, bool relayed)
+void world::act(host_process& host, const answer_call& it)
 {
     const auto found = calls_.find(it.call);
     if (found == calls_.end()) {
         return;
     }
-    note(found->second.name,
-         host.process() + (relayed ? " relays " : " decides ") + describe(it.result));
-    if (!relayed) {
+    note(found->second.name, host.process() + (found->second.forwarded ? " relays " : " decides ") +
+                                 describe(it.result));
+    if (!found->second.forwarded) {
         seen_.on_decision(found->second.name, it.result);
     }
     on_call_answer(it.call, it.result);
@@ -343,6 +342,11 @@
     });
     const pending_key key{host.id(), it.correlation.value(), false};
     forwarded_[key] = name_of(content);
+    const forward_state* state = host.core->board().forwards.find(it.correlation);
+    const auto* origin = state == nullptr ? nullptr : std::get_if<local_origin>(&(*state)->origin);
+    if (origin != nullptr && calls_.contains(origin->call)) {
+        calls_.at(origin->call).forwarded = true;
+    }
     note(name_of(content), host.process() + " forwards to " + it.peer.host.text() + "#" +
                                std::to_string(it.peer.incarnation.value()));
     send(host, it.peer, key, forward_received{{host.id(), it.correlation}, content},
@@ -381,8 +385,7 @@
         return;
     }
     const bool answer_lost = chance_.percent(2);
-    const bool fresh =
-        time_.now() > disturbed_until_ && time_.now() > host.started_at + std::chrono::seconds(5);
+    const sender_knowledge known{.listed_at = host.listed_at, .informed_since = host.cut_off_until};
     const std::string body(it.work->body.view());
     note(
         body.substr(0, body.find('/')),
@@ -390,8 +393,8 @@
             std::to_string(static_cast<int>((*host.core->board().targets.find(it.target))->stage)));
     const duration waits = it.deadline - host.read(time_.now()).steady;
     time_.after(waits + duration(1000), [reply] { reply(no_answer{}); });
-    time_.after(delay(), [this, target = it.target, body, fresh, answer_lost, reply] {
-        targets_.arrive(target, body, fresh, [reply, answer_lost](const exchange_outcome& outcome) {
+    time_.after(delay(), [this, target = it.target, body, known, answer_lost, reply] {
+        targets_.arrive(target, body, known, [reply, answer_lost](const exchange_outcome& outcome) {
             reply(answer_lost ? exchange_outcome(connection_lost{}) : outcome);
         });
     });
@@ -482,11 +485,12 @@
 
 void world::act(host_process& host, const stop_process& /*it*/)
 {
-    const bool waiting = std::any_of(calls_.begin(), calls_.end(), [&](const auto& call) {
-        return call.second.host == host.id() && !call.second.hung_up;
-    });
-    if (waiting && host.read(time_.now()).steady < host.core->board().self.get()->stop_at) {
-        throw violation("host " + host.name.text() + " stopped with a request in progress");
+    const bool in_time = host.read(time_.now()).steady < host.core->board().self.get()->stop_at;
+    for (const auto& [call, state] : calls_) {
+        if (in_time && state.host == host.id() && !state.hung_up) {
+            throw violation("host " + host.name.text() + " stopped with a request in progress" +
+                            seen_.trace(state.name));
+        }
     }
     platform_.end(host.id());
     time_.after(duration(0), [this, &host, id = host.id()] {
@@ -746,6 +750,11 @@
     }
 }
 
+void world::cut_off(host_process& host, duration length)
+{
+    host.cut_off_until = std::max(host.cut_off_until, time_.now() + length);
+}
+
 void world::cut_zones()
 {
     const std::pair zones{any_host().zone, any_host().zone};
@@ -763,11 +772,19 @@
     disturb(length);
     if (chance_.percent(50)) {
         platform_.up = false;
+        for (host_process& it : hosts_) {
+            cut_off(it, length);
+        }
         time_.after(length, [this] { platform_.up = true; });
         return;
     }
     const zone_name zone = any_host().zone;
     platform_.cut.insert(zone);
+    for (host_process& it : hosts_) {
+        if (it.zone == zone) {
+            cut_off(it, length);
+        }
+    }
     time_.after(length, [this, zone] { platform_.cut.erase(zone); });
 }
 
