--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -28,10 +28,6 @@
     commands.push_back(std::make_unique<history_command>(std::cout));
     commands.push_back(std::make_unique<check_settings_command>());
     commands.push_back(std::make_unique<load_command>());
-    commands.push_back(std::make_unique<plan_command>(std::cout));
-    commands.push_back(std::make_unique<confirm_command>(std::cout));
-    commands.push_back(std::make_unique<show_command>(std::cout));
-    commands.push_back(std::make_unique<history_command>(std::cout));
     return commands;
 }
 
