List the hosts only when their index has moved

Cause: every host read the whole list each 2 s: at 212 targets 48,787 bytes, 24 KB a second. What: key_value_store::index asks for the position of a prefix with a short answer, and stored_host_list lists a prefix only when it differs from that of its last listing. The stand-in answers the same call. Test: an unchanged list is not listed again, a removal is seen.

--- a/packages/platform/include/papayafall/platform/hosts/stored_host_list.hpp
+++ b/packages/platform/include/papayafall/platform/hosts/stored_host_list.hpp
@@ -3,13 +3,17 @@
 #include "papayafall/platform/hosts/host_list.hpp"
 #include "papayafall/platform/store/key_value_store.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace papayafall {
 
 /// Host list that the platform keeps under two key prefixes, one entry a key.
-/// A reading takes two calls; it fails as a whole when either does.
+///
+/// A reading takes one call for the index of each prefix, and a listing of a prefix only where its
+/// index has changed since the last reading. It fails as a whole when any call does.
 class stored_host_list : public host_list {
   public:
     /// @param store outlives this object and every reading
@@ -19,8 +23,22 @@
     void read(platform_reply<host_list_snapshot> reply) override;
 
   private:
+    /// The entries under one prefix as they were at an index.
+    struct section {
+        std::string prefix;
+        modify_index index;
+        std::vector<stored_value> entries;
+    };
+
+    using done = std::function<void(const std::optional<platform_failure>&)>;
+
+    /// Brings `wanted` up to date.
+    void refresh(section& wanted, done next);
+    void list(section& wanted, modify_index index, done next);
+
     key_value_store* store_;
-    std::string targets_prefix_;
+    section peers_;
+    section targets_;
 };
 
 } // namespace papayafall
--- a/packages/platform/include/papayafall/platform/memory/memory_key_value_store.hpp
+++ b/packages/platform/include/papayafall/platform/memory/memory_key_value_store.hpp
@@ -28,6 +28,7 @@
                      platform_reply<read_result> reply) override;
     void cancel(store_call call) override;
     void list(const std::string& prefix, platform_reply<std::vector<stored_value>> reply) override;
+    void index(const std::string& prefix, platform_reply<modify_index> reply) override;
     void put(const put_request& request, platform_reply<put_outcome> reply) override;
     void erase(const std::string& key, platform_reply<put_outcome> reply) override;
     void open_session(const std::string& name, std::chrono::milliseconds ttl,
--- a/packages/platform/include/papayafall/platform/store/key_value_store.hpp
+++ b/packages/platform/include/papayafall/platform/store/key_value_store.hpp
@@ -106,6 +106,10 @@
     virtual void list(const std::string& prefix,
                       platform_reply<std::vector<stored_value>> reply) = 0;
 
+    /// Position of the last write of any key that starts with `prefix`; it differs from an earlier
+    /// one when such a key was written or removed in between, and may differ where none was.
+    virtual void index(const std::string& prefix, platform_reply<modify_index> reply) = 0;
+
     /// Writes a key. A conditional write whose answer was lost is resolved by reading the key
     /// back: a key that holds the same data counts as applied.
     virtual void put(const put_request& request, platform_reply<put_outcome> reply) = 0;
--- a/packages/platform/src/hosts/stored_host_list.cpp
+++ b/packages/platform/src/hosts/stored_host_list.cpp
@@ -26,13 +26,10 @@
 }
 
 platform_result<host_list_snapshot> combine(const stored_values& peers,
-                                            const platform_result<stored_values>& targets)
+                                            const stored_values& targets)
 {
-    if (const auto* failure = std::get_if<platform_failure>(&targets)) {
-        return *failure;
-    }
     try {
-        return decode(peers, std::get<stored_values>(targets));
+        return decode(peers, targets);
     } catch (const configuration_error& it) {
         return platform_failure{error_id::platform_protocol, write_effect::not_applied, it.what()};
     }
@@ -41,25 +38,59 @@
 } // namespace
 
 stored_host_list::stored_host_list(key_value_store& store, std::optional<zone_name> zone)
-    : store_(&store),
-      targets_prefix_(zone ? keys::listed_targets(*zone) : keys::all_listed_targets())
+    : store_(&store), peers_{.prefix = keys::listed_entry_hosts()},
+      targets_{.prefix = zone ? keys::listed_targets(*zone) : keys::all_listed_targets()}
 {
 }
 
 void stored_host_list::read(platform_reply<host_list_snapshot> reply)
 {
-    auto read_targets = [store = store_, prefix = targets_prefix_,
-                         reply = std::move(reply)](const platform_result<stored_values>& peers) {
-        if (const auto* failure = std::get_if<platform_failure>(&peers)) {
+    auto finish = [this, reply](const std::optional<platform_failure>& failure) {
+        if (failure) {
             reply(*failure);
             return;
         }
-        store->list(prefix, [reply, entries = std::get<stored_values>(peers)](
-                                const platform_result<stored_values>& targets) {
-            reply(combine(entries, targets));
-        });
+        reply(combine(peers_.entries, targets_.entries));
     };
-    store_->list(keys::listed_entry_hosts(), std::move(read_targets));
+    refresh(peers_, [this, reply, finish](const std::optional<platform_failure>& failure) {
+        if (failure) {
+            reply(*failure);
+            return;
+        }
+        refresh(targets_, finish);
+    });
+}
+
+void stored_host_list::refresh(section& wanted, done next)
+{
+    store_->index(wanted.prefix, [this, &wanted, next = std::move(next)](
+                                     const platform_result<modify_index>& result) {
+        if (const auto* failure = std::get_if<platform_failure>(&result)) {
+            next(*failure);
+            return;
+        }
+        const modify_index index = std::get<modify_index>(result);
+        if (index == wanted.index) {
+            next(std::nullopt);
+            return;
+        }
+        list(wanted, index, next);
+    });
+}
+
+void stored_host_list::list(section& wanted, modify_index index, done next)
+{
+    // A write after the index was read leads to another listing next time.
+    store_->list(wanted.prefix, [&wanted, index, next = std::move(next)](
+                                    const platform_result<stored_values>& result) {
+        if (const auto* failure = std::get_if<platform_failure>(&result)) {
+            next(*failure);
+            return;
+        }
+        wanted.entries = std::get<stored_values>(result);
+        wanted.index = index;
+        next(std::nullopt);
+    });
 }
 
 } // namespace papayafall
--- a/packages/platform/src/http/consul_json.cpp
+++ b/packages/platform/src/http/consul_json.cpp
@@ -90,6 +90,14 @@
     return is_missing(answer) ? std::vector<stored_value>() : decode_entries(answer);
 }
 
+modify_index decode_index(const http_answer& answer)
+{
+    if (answer.index == modify_index()) {
+        fail("the platform answered without an index");
+    }
+    return answer.index;
+}
+
 bool decode_flag(const http_answer& answer)
 {
     const nlohmann::json document = parse(answer);
--- a/packages/platform/src/http/consul_json.hpp
+++ b/packages/platform/src/http/consul_json.hpp
@@ -13,6 +13,9 @@
 
 std::vector<stored_value> decode_list(const http_answer& answer);
 
+/// Position in the header of the answer.
+modify_index decode_index(const http_answer& answer);
+
 bool decode_flag(const http_answer& answer);
 
 session_id decode_session(const http_answer& answer);
--- a/packages/platform/src/http/http_key_value_store.cpp
+++ b/packages/platform/src/http/http_key_value_store.cpp
@@ -114,6 +114,14 @@
                  decoded<std::vector<stored_value>>(std::move(reply), detail::decode_list));
 }
 
+void http_key_value_store::index(const std::string& prefix, platform_reply<modify_index> reply)
+{
+    // With the separator the service answers the common prefix in place of every key under it.
+    const std::string parent = prefix.ends_with('/') ? prefix.substr(0, prefix.size() - 1) : prefix;
+    caller_.send({.path = kv_path(parent) + "?keys&separator=/"},
+                 decoded<modify_index>(std::move(reply), detail::decode_index));
+}
+
 void http_key_value_store::put(const put_request& request, platform_reply<put_outcome> reply)
 {
     auto resolve = [this, request,
--- a/packages/platform/src/memory/memory_key_value_store.cpp
+++ b/packages/platform/src/memory/memory_key_value_store.cpp
@@ -49,6 +49,25 @@
     post<std::vector<stored_value>>(reply, std::move(found));
 }
 
+void memory_key_value_store::index(const std::string& prefix, platform_reply<modify_index> reply)
+{
+    act_on_deadlines();
+    modify_index last(1);
+    for (auto it = entries_.lower_bound(prefix); it != entries_.end(); ++it) {
+        if (!it->key.starts_with(prefix)) {
+            break;
+        }
+        last = std::max(last, it->value.index);
+    }
+    for (auto it = erased_.lower_bound(prefix); it != erased_.end(); ++it) {
+        if (!it->key.starts_with(prefix)) {
+            break;
+        }
+        last = std::max(last, it->value);
+    }
+    post<modify_index>(reply, last);
+}
+
 void memory_key_value_store::put(const put_request& request, platform_reply<put_outcome> reply)
 {
     act_on_deadlines();
--- a/packages/platform/tests/support/stand_in_platform.cpp
+++ b/packages/platform/tests/support/stand_in_platform.cpp
@@ -184,6 +184,14 @@
             });
             return;
         }
+        if (it.has("keys")) {
+            ++counts_["index"];
+            store_.index(key, [it, key](const platform_result<modify_index>& result) {
+                it.answer(nlohmann::json::array({key + "/"}), status_code::Ok,
+                          std::get<modify_index>(result));
+            });
+            return;
+        }
         auto reply = [it](const platform_result<read_result>& result) {
             const auto& read = std::get<read_result>(result);
             nlohmann::json out = nlohmann::json::array();
--- a/packages/platform/tests/support/store_decorator.hpp
+++ b/packages/platform/tests/support/store_decorator.hpp
@@ -37,6 +37,11 @@
         inner_.list(prefix, std::move(reply));
     }
 
+    void index(const std::string& prefix, platform_reply<modify_index> reply) override
+    {
+        inner_.index(prefix, std::move(reply));
+    }
+
     void put(const put_request& wanted, platform_reply<put_outcome> reply) override
     {
         if (hook_ && wanted.key.starts_with(prefix_)) {
--- a/packages/platform/tests/unit-http_store.cpp
+++ b/packages/platform/tests/unit-http_store.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(lapsed_session_gives_back_its_lock);
     CPPUNIT_TEST(cut_zone_is_cut_alone);
     CPPUNIT_TEST(host_list_is_read_from_its_prefixes);
+    CPPUNIT_TEST(unchanged_host_list_is_not_listed_again);
     CPPUNIT_TEST(malformed_host_is_a_protocol_failure);
     CPPUNIT_TEST_SUITE_END();
 
@@ -168,6 +169,25 @@
         CPPUNIT_ASSERT(hosts->targets == std::vector{near});
     }
 
+    void unchanged_host_list_is_not_listed_again()
+    {
+        const target_entry target{target_name("t1"), zone_name("a"), {"127.0.0.1", 9001}, 8, false};
+        const std::string key = keys::listed_targets(zone_name("a")) + "t1";
+        stored_host_list list(*store_, zone_name("a"));
+        CPPUNIT_ASSERT(read(list)->targets.empty());
+        put(key, encode_target_entry(target).dump(), put_always{});
+        CPPUNIT_ASSERT(read(list)->targets == std::vector{target});
+
+        const std::uint64_t listings = platform_->counts()["list"];
+        CPPUNIT_ASSERT(read(list)->targets == std::vector{target});
+        CPPUNIT_ASSERT_EQUAL(listings, platform_->counts()["list"]);
+
+        await<put_outcome>(
+            [&](const platform_reply<put_outcome>& reply) { store_->erase(key, reply); });
+        CPPUNIT_ASSERT(read(list)->targets.empty());
+        CPPUNIT_ASSERT_EQUAL(listings + 1, platform_->counts()["list"]);
+    }
+
     void malformed_host_is_a_protocol_failure()
     {
         put(keys::listed_entry_hosts() + "e1", "{}", put_always{});
@@ -209,6 +229,11 @@
     host_list_snapshot read_hosts()
     {
         stored_host_list list(*store_, zone_name("a"));
+        return read(list);
+    }
+
+    static host_list_snapshot read(stored_host_list& list)
+    {
         return await<host_list_snapshot>(
             [&](const platform_reply<host_list_snapshot>& reply) { list.read(reply); });
     }
