--- a/packages/daemon/src/http/caller_socket.cpp
+++ b/packages/daemon/src/http/caller_socket.cpp
@@ -201,6 +201,11 @@
     }
     released_ = 0;
     read_ = 0;
+    if (whole.size > kept_buffer_capacity) {
+        // Without bytes the library only clears its copy of the request that it has handled, which
+        // it would otherwise keep until the next request.
+        Q_EMIT readyRead();
+    }
     framer_.next();
     continue_sent_ = false;
     if (!accepted_ && busy()) {
--- a/packages/daemon/tests/http/unit-front_end.cpp
+++ b/packages/daemon/tests/http/unit-front_end.cpp
@@ -8,6 +8,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <malloc.h>
+
 #include <chrono>
 #include <memory>
 #include <set>
@@ -44,6 +46,13 @@
     return text.find(part) != std::string::npos;
 }
 
+/// Bytes that the allocator has in use in this process.
+std::size_t allocated_bytes()
+{
+    const struct mallinfo2 info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 /// A running front end with a scripted core behind it.
 class fixture {
   public:
@@ -234,6 +243,7 @@
     CPPUNIT_TEST_SUITE(limits_test);
     CPPUNIT_TEST(unacceptable_requests_are_refused_and_closed);
     CPPUNIT_TEST(largest_body_is_accepted);
+    CPPUNIT_TEST(idle_connections_keep_no_bodies);
     CPPUNIT_TEST(unfinished_request_times_out);
     CPPUNIT_TEST(idle_connection_is_closed);
     CPPUNIT_TEST(caller_that_takes_no_answers_is_cut);
@@ -276,6 +286,28 @@
         CPPUNIT_ASSERT(client.read_response().ends_with("\r\n\r\n" + body));
     }
 
+    void idle_connections_keep_no_bodies()
+    {
+        fixture it;
+        const std::string whole = post_of("/v1/unknown", std::string(1'048'576, 'b'));
+        constexpr std::size_t connections = 32;
+        std::vector<std::unique_ptr<raw_client>> clients;
+        const std::size_t before = allocated_bytes();
+        for (std::size_t n = 0; n < connections; ++n) {
+            clients.push_back(std::make_unique<raw_client>(it.front.port()));
+            CPPUNIT_ASSERT(clients.back()->send(whole));
+            CPPUNIT_ASSERT(has_status(clients.back()->read_response(), 404));
+        }
+        // A second request on each connection shows that the first was dealt with to its end.
+        for (const auto& client : clients) {
+            CPPUNIT_ASSERT(client->send(whole));
+            CPPUNIT_ASSERT(has_status(client->read_response(), 404));
+        }
+        CPPUNIT_ASSERT(clients.front()->send(get_of("/metrics")));
+        CPPUNIT_ASSERT(has_status(clients.front()->read_response(), 200));
+        CPPUNIT_ASSERT(allocated_bytes() < before + connections * whole.size() / 4);
+    }
+
     void unfinished_request_times_out()
     {
         fixture it({.connection = {.transfer_time = std::chrono::milliseconds(200)}});
