--- a/packages/cli/src/commands/submit_command.cpp
+++ b/packages/cli/src/commands/submit_command.cpp
@@ -94,7 +94,7 @@
     std::optional<request_error> last;
     for (std::uint32_t n = 0; n < attempts_; ++n) {
         try {
-            const entry_response response =
+            entry_response response =
                 call_entry_host(parse_endpoint(hosts_.at(n % hosts_.size())), request);
             if (response.status < http_client_error || n + 1 == attempts_ ||
                 response.body.find("home_unreachable") == std::string::npos) {
--- a/packages/core/tests/random/world.cpp
+++ b/packages/core/tests/random/world.cpp
@@ -534,7 +534,7 @@
 
 void world::send_answer(host_process& from, const pending_key& key, const event& message)
 {
-    const peer_id& sender = std::get<peer_id>(key);
+    const auto& sender = std::get<peer_id>(key);
     const host_process* to = find(sender);
     if (to == nullptr || !pending_.contains(key)) {
         return;
--- a/packages/daemon/src/process/signal_watcher.cpp
+++ b/packages/daemon/src/process/signal_watcher.cpp
@@ -15,8 +15,8 @@
 constexpr std::array watched{SIGTERM, SIGINT, SIGHUP};
 
 /// Both ends of the pipe that carries the signals' numbers; written by the signal handler.
-std::array<int, 2> signal_pipe{-1,
-                               -1}; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
+// NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables)
+std::array<int, 2> signal_pipe{-1, -1};
 
 void forward_signal(int number)
 {
