Keep a seat's limits when no other process held it in between; write down the proofs

The platform's count of acquisitions (lock index) now comes with a grant. A process that gets a seat back with no other holder in between has all records itself and inherits nothing; limits from earlier holders outlive the loss of the seat. Any gap or missing count is an inheritance.

--- a/packages/core/include/papayafall/core/messages/event.hpp
+++ b/packages/core/include/papayafall/core/messages/event.hpp
@@ -100,6 +100,9 @@
     const seat_id seat;
     /// Keys made before this instant may have been started by a predecessor; empty where none was.
     const std::optional<wall_time> inherited_at;
+    /// Number of the acquisition at the platform, one more for each session that got the seat;
+    /// zero where the platform counts none.
+    const std::uint64_t generation = 0;
 };
 
 /// Another process holds the seat.
--- a/packages/core/include/papayafall/core/state/seat_state.hpp
+++ b/packages/core/include/papayafall/core/state/seat_state.hpp
@@ -19,6 +19,9 @@
     /// While free: instant of the next claim; while claiming: instant at which the claim is given
     /// up.
     time_point next_step{};
+    /// Acquisition in which this process last held the seat; zero before the first. It and the two
+    /// limits above outlive the loss of the seat.
+    std::uint64_t generation = 0;
 
     auto operator<=>(const seat_state_fields&) const = default;
 };
--- a/packages/core/src/controllers/seat_controller.cpp
+++ b/packages/core/src/controllers/seat_controller.cpp
@@ -37,6 +37,29 @@
     return inherited_at + parameters->key_future_limit + 2 * parameters->clock_error;
 }
 
+seat_state known_state(const blackboard& board, const seat_id& seat)
+{
+    const seat_state* known = board.seats.find(seat);
+    return known == nullptr ? seat_state{} : *known;
+}
+
+/// The seat in another phase; what was learned in earlier acquisitions stays.
+seat_state in_phase(const seat_state& before, seat_phase phase, time_point next_step)
+{
+    return before.with([&](seat_state_fields& it) {
+        it.phase = phase;
+        it.next_step = next_step;
+    });
+}
+
+/// Whether no other process held the seat since this one did: it then has the records of all
+/// keys that were started under the seat, and its earlier limits still cover older holders.
+bool held_without_break(const seat_state& before, const seat_granted& grant)
+{
+    return before->generation != 0 && grant.generation >= before->generation &&
+           grant.generation - before->generation <= 1;
+}
+
 } // namespace
 
 seat_controller::seat_controller(blackboard& board)
@@ -53,9 +76,8 @@
     } else if (const auto* granted = std::get_if<seat_granted>(&incoming)) {
         grant(board, *granted, now);
     } else if (const auto* refused = std::get_if<seat_refused>(&incoming)) {
-        seats_.put(refused->seat, seat_state_fields{
-                                      .next_step = now.steady + board.parameters->seat_retry_period,
-                                  });
+        seats_.put(refused->seat, in_phase(known_state(board, refused->seat), seat_phase::free,
+                                           now.steady + board.parameters->seat_retry_period));
     }
 }
 
@@ -74,12 +96,16 @@
 
 void seat_controller::grant(blackboard& board, const seat_granted& grant, const clock_reading& now)
 {
-    seat_state_fields next{.phase = seat_phase::held};
-    if (grant.inherited_at) {
-        next.accept_made_after = safe_after(board.parameters, *grant.inherited_at);
-        next.accept_plain_from = now.steady + board.parameters->record_retention;
-    }
-    seats_.put(grant.seat, next);
+    const seat_state before = known_state(board, grant.seat);
+    const bool inherited = grant.inherited_at && !held_without_break(before, grant);
+    const seat_state held = in_phase(before, seat_phase::held, time_point{});
+    seats_.put(grant.seat, held.with([&](seat_state_fields& it) {
+        it.generation = grant.generation;
+        if (inherited) {
+            it.accept_made_after = safe_after(board.parameters, *grant.inherited_at);
+            it.accept_plain_from = now.steady + board.parameters->record_retention;
+        }
+    }));
 }
 
 void seat_controller::drop_all(blackboard& board, time_point now)
@@ -90,7 +116,7 @@
         names.push_back(it.key);
     }
     for (const seat_id& it : names) {
-        seats_.put(it, seat_state_fields{.next_step = now});
+        seats_.put(it, in_phase(known_state(board, it), seat_phase::free, now));
     }
 }
 
@@ -104,10 +130,8 @@
         !preferred_here(board, seat, now)) {
         return;
     }
-    seats_.put(seat, seat_state_fields{
-                         .phase = seat_phase::claiming,
-                         .next_step = now + board.parameters->seat_claim_timeout,
-                     });
+    seats_.put(seat, in_phase(known_state(board, seat), seat_phase::claiming,
+                              now + board.parameters->seat_claim_timeout));
     board.outbox.post(claim_seat{seat});
 }
 
--- a/packages/daemon/src/platform/seat_claimer.cpp
+++ b/packages/daemon/src/platform/seat_claimer.cpp
@@ -179,10 +179,12 @@
         return;
     }
     if (read != nullptr && read->found->lock_count == 1) {
-        events_.post(seat_granted{.seat = seat});
+        events_.post(seat_granted{.seat = seat, .generation = read->found->lock_count});
         return;
     }
-    events_.post(seat_granted{.seat = seat, .inherited_at = clock_.read().wall});
+    events_.post(seat_granted{.seat = seat,
+                              .inherited_at = clock_.read().wall,
+                              .generation = read == nullptr ? 0 : read->found->lock_count});
 }
 
 void seat_claimer::take_released(const seat_id& seat, const platform_result<lock_outcome>& result)
