--- a/packages/daemon/tests/process/unit-process_lifecycle.cpp
+++ b/packages/daemon/tests/process/unit-process_lifecycle.cpp
@@ -91,7 +91,8 @@
             call_both_hosts(fleet, 1);
             return fleet.targets().counts(0).refusals > 0;
         }));
-        wait_until([&] { return is_leaving(fleet.host("a1")) && is_leaving(fleet.host("a2")); });
+        CPPUNIT_ASSERT(wait_until(
+            [&] { return is_leaving(fleet.host("a1")) && is_leaving(fleet.host("a2")); }));
         const stand_in_counts before = fleet.targets().counts(0);
         call_both_hosts(fleet, 40);
         const stand_in_counts after = fleet.targets().counts(0);
