Print the status of hosts, name whose revision is in force, and send the platform's token

- papayafall status reads GET /v1/status of one or more hosts, as a table or JSON.
- The plan and the operator of a revision travel with the configuration, from the change record and from peer to peer.
Each host logs them with the revision and the one before it, and its status shows them with the time since when.
Peer protocol version 3.
- Calls to the platform carry the token of a file; the stand-in refuses others when told so.
- A request without Papayafall-Urgency had normal urgency whatever its service declared.
It now names none, and its home applies the service's.

--- a/packages/cli/include/papayafall/cli/commands/operator_options.hpp
+++ b/packages/cli/include/papayafall/cli/commands/operator_options.hpp
@@ -14,10 +14,11 @@
 /// Options that every operators' command has.
 struct operator_options {
     std::string platform_url = "http://127.0.0.1:8500";
+    std::string token_file;
     std::string author;
     std::string output = "table";
 
-    /// Adds `--platform`, `--operator` and `--output` to `app`.
+    /// Adds `--platform`, `--token-file`, `--operator` and `--output` to `app`.
     void attach(CLI::App& app);
 
     bool wants_json() const noexcept { return output == "json"; }
@@ -29,7 +30,8 @@
 /// The platform as an operators' command uses it.
 class operator_connection {
   public:
-    /// @throws configuration_error when the address is not an http URL
+    /// @throws configuration_error when the address is not an http URL, or the token file is not
+    ///         readable
     explicit operator_connection(const operator_options& options);
 
     change_log& changes() noexcept { return changes_; }
--- a/packages/cli/src/commands/operator_options.cpp
+++ b/packages/cli/src/commands/operator_options.cpp
@@ -8,15 +8,16 @@
 
 constexpr int default_port = 8500;
 
-http_platform_options parse_platform(const std::string& text)
+http_platform_options parse_platform(const operator_options& options)
 {
-    const QUrl url(QString::fromStdString(text), QUrl::StrictMode);
+    const QUrl url(QString::fromStdString(options.platform_url), QUrl::StrictMode);
     if (!url.isValid() || url.scheme() != "http" || url.host().isEmpty()) {
         throw configuration_error(error_id::invalid_settings, "/platform",
                                   "a URL like http://127.0.0.1:8500 is expected");
     }
     return {
-        .address = {url.host().toStdString(), static_cast<std::uint16_t>(url.port(default_port))}};
+        .address = {url.host().toStdString(), static_cast<std::uint16_t>(url.port(default_port))},
+        .token = read_platform_token(options.token_file, "--token-file")};
 }
 
 } // namespace
@@ -26,6 +27,9 @@
     app.add_option("--platform", platform_url, "URL of the platform's key-value service")
         ->envname("PAPAYAFALL_PLATFORM")
         ->capture_default_str();
+    app.add_option("--token-file", token_file,
+                   "file whose first line is your token for the key-value service")
+        ->envname("PAPAYAFALL_TOKEN_FILE");
     app.add_option("--operator", author, "your name, for the audit trail")
         ->envname("PAPAYAFALL_OPERATOR");
     app.add_option("--output", output, "form of the output")
@@ -43,7 +47,7 @@
 }
 
 operator_connection::operator_connection(const operator_options& options)
-    : store_(parse_platform(options.platform_url), clock_), changes_(store_, clock_)
+    : store_(parse_platform(options), clock_), changes_(store_, clock_)
 {
 }
 
--- /dev/null
+++ b/packages/cli/src/commands/status_command.cpp
@@ -0,0 +1,77 @@
+#include "papayafall/cli/commands/status_command.hpp"
+
+#include "status_output.hpp"
+
+#include "papayafall/cli/http/blocking_http.hpp"
+#include "papayafall/core/errors/exception.hpp"
+
+#include <algorithm>
+#include <ostream>
+
+namespace papayafall {
+
+namespace {
+
+constexpr int http_ok = 200;
+constexpr std::string_view http_scheme = "http://";
+
+endpoint parse_host(std::string_view text)
+{
+    return parse_endpoint(text.starts_with(http_scheme) ? text.substr(http_scheme.size()) : text);
+}
+
+detail::host_report read_report(const std::string& host, std::chrono::milliseconds timeout)
+{
+    const endpoint address = parse_host(host);
+    try {
+        const entry_response answer =
+            call_entry_host(address, {.path = "/v1/status", .timeout = timeout});
+        if (answer.status == http_ok) {
+            return {host, nlohmann::json::parse(answer.body)};
+        }
+    } catch (const request_error&) {
+        return {host, std::nullopt}; // the report says that the host gave no answer
+    } catch (const nlohmann::json::exception& ex) {
+        throw message_error(error_id::malformed_message, host + ": " + ex.what());
+    }
+    return {host, std::nullopt};
+}
+
+} // namespace
+
+CLI::App* status_command::attach(CLI::App& app)
+{
+    CLI::App* it = app.add_subcommand("status", "Print the state of entry hosts");
+    it->add_option("--host", hosts_, "entry host as address:port; repeat for others")
+        ->capture_default_str();
+    it->add_option("--output", output_, "form of the output")
+        ->check(CLI::IsMember({"json", "table"}))
+        ->capture_default_str();
+    it->add_option("--timeout-ms", timeout_ms_, "milliseconds to wait for each host")
+        ->capture_default_str();
+    it->footer("Examples:\n"
+               "  papayafall status --host 10.0.0.1:8080 --host 10.0.0.2:8080\n"
+               "  papayafall status --host 10.0.0.1:8080 --output json");
+    return it;
+}
+
+exit_code status_command::run()
+{
+    std::vector<detail::host_report> reports;
+    reports.reserve(hosts_.size());
+    for (const std::string& it : hosts_) {
+        reports.push_back(read_report(it, std::chrono::milliseconds(timeout_ms_)));
+    }
+    if (output_ == "json") {
+        out_ << detail::encode_reports(reports).dump(2) << "\n";
+    } else {
+        for (const detail::host_report& it : reports) {
+            detail::print_report(out_, it);
+        }
+    }
+    const bool complete = std::all_of(reports.begin(), reports.end(),
+                                      [](const auto& it) { return it.status.has_value(); });
+    return complete ? exit_code::success : exit_code::unavailable;
+}
+
+} // namespace papayafall
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -3,6 +3,7 @@
 #include "papayafall/cli/commands/history_command.hpp"
 #include "papayafall/cli/commands/plan_command.hpp"
 #include "papayafall/cli/commands/show_command.hpp"
+#include "papayafall/cli/commands/status_command.hpp"
 #include "papayafall/cli/commands/submit_command.hpp"
 #include "papayafall/cli/exit_codes.hpp"
 #include "papayafall/cli/load/load_command.hpp"
@@ -26,6 +27,7 @@
     commands.push_back(std::make_unique<confirm_command>(std::cout));
     commands.push_back(std::make_unique<show_command>(std::cout));
     commands.push_back(std::make_unique<history_command>(std::cout));
+    commands.push_back(std::make_unique<status_command>(std::cout));
     commands.push_back(std::make_unique<check_settings_command>());
     commands.push_back(std::make_unique<load_command>());
     commands.push_back(std::make_unique<plan_command>(std::cout));
--- a/packages/cli/tests/commands/unit-operator_commands.cpp
+++ b/packages/cli/tests/commands/unit-operator_commands.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(outage_between_plan_and_confirmation);
     CPPUNIT_TEST(host_without_the_revision_is_named);
     CPPUNIT_TEST(operator_name_is_needed);
+    CPPUNIT_TEST(platform_refuses_without_the_token);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -98,6 +99,24 @@
         CPPUNIT_ASSERT_THROW(run<plan_command>({"plan", "intent.json"}), configuration_error);
     }
 
+    void platform_refuses_without_the_token()
+    {
+        platform_->set_faults({.token = "s3cret"});
+        try {
+            run<show_command>({"show"});
+            CPPUNIT_FAIL("the platform answered without the token");
+        } catch (const platform_call_error& it) {
+            CPPUNIT_ASSERT(it.id() == error_id::unauthorized);
+        }
+        QTemporaryFile file;
+        CPPUNIT_ASSERT(file.open());
+        file.write("s3cret\n");
+        file.close();
+        run<show_command>({"show", "--token-file", file.fileName().toStdString()});
+        CPPUNIT_ASSERT_THROW(run<show_command>({"show", "--token-file", "/nonexistent"}),
+                             configuration_error);
+    }
+
   private:
     template <typename Command>
     std::string run(std::vector<std::string> arguments)
--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/blackboard/table.hpp"
 #include "papayafall/core/messages/action.hpp"
 #include "papayafall/core/messages/event.hpp"
+#include "papayafall/core/state/applied_change.hpp"
 #include "papayafall/core/state/backlog.hpp"
 #include "papayafall/core/state/core_parameters.hpp"
 #include "papayafall/core/state/counters.hpp"
@@ -47,6 +48,7 @@
 
     // written by configuration_controller
     cell<configuration> current_configuration;
+    cell<applied_change> last_change; ///< how `current_configuration` came into force
     cell<bool> watching;
     cell<time_point> fetch_due;
 
--- a/packages/core/include/papayafall/core/controllers/configuration_controller.hpp
+++ b/packages/core/include/papayafall/core/controllers/configuration_controller.hpp
@@ -5,7 +5,8 @@
 
 namespace papayafall {
 
-/// Brings the newest configuration into force: reads `hosts`, writes `current_configuration`.
+/// Brings the newest configuration into force: reads `hosts`, writes `current_configuration`
+/// and `last_change`.
 ///
 /// Only a higher revision replaces the present one. One host of each zone watches the platform;
 /// the others hear of a new revision by heartbeat and fetch it from the peer.
@@ -19,10 +20,11 @@
     void on_tick(blackboard& board, const clock_reading& now) override;
 
   private:
-    void receive(blackboard& board, const configuration& content);
+    void receive(blackboard& board, const configuration_received& incoming, wall_time now);
     void fetch(blackboard& board, const heartbeat& beat, time_point now);
 
     cell_writer<configuration> current_;
+    cell_writer<applied_change> last_change_;
     cell_writer<bool> watching_;
     cell_writer<time_point> fetch_due_;
 };
--- a/packages/core/include/papayafall/core/messages/action.hpp
+++ b/packages/core/include/papayafall/core/messages/action.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayafall/core/state/applied_change.hpp"
 #include "papayafall/core/state/status_snapshot.hpp"
 #include "papayafall/core/values/answer.hpp"
 #include "papayafall/core/values/configuration.hpp"
@@ -107,6 +108,7 @@
 /// A configuration came into force on this host.
 struct configuration_applied {
     const configuration content;
+    const applied_change change;
 };
 
 /// Show the state of this process to operators, health checks and metrics.
--- a/packages/core/include/papayafall/core/messages/event.hpp
+++ b/packages/core/include/papayafall/core/messages/event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/values/answer.hpp"
+#include "papayafall/core/values/change_origin.hpp"
 #include "papayafall/core/values/configuration.hpp"
 #include "papayafall/core/values/host.hpp"
 #include "papayafall/core/values/request.hpp"
@@ -84,6 +85,7 @@
 /// A configuration was read from the platform or from a peer.
 struct configuration_received {
     const configuration content;
+    const std::optional<change_origin> origin = std::nullopt; ///< where the reading names it
 };
 
 /// The platform confirmed the session under which this process holds seats. After a session has
--- a/packages/core/include/papayafall/core/state/status_snapshot.hpp
+++ b/packages/core/include/papayafall/core/state/status_snapshot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayafall/core/state/applied_change.hpp"
 #include "papayafall/core/state/seat_state.hpp"
 #include "papayafall/core/state/self_state.hpp"
 #include "papayafall/core/state/target_state.hpp"
@@ -24,6 +25,7 @@
 struct status_fields {
     self_state self;
     configuration current_configuration;
+    applied_change last_change; ///< how the configuration came into force
     std::vector<host_state> hosts;
     std::vector<target_state> targets;
     std::vector<seat_status> seats;
--- /dev/null
+++ b/packages/core/include/papayafall/core/values/change_origin.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "papayafall/core/values/identifiers.hpp"
+
+#include <compare>
+
+namespace papayafall {
+
+/// The plan that made a revision of the configuration, and the operator who confirmed it.
+struct change_origin {
+    plan_id plan;
+    operator_name author;
+
+    auto operator<=>(const change_origin&) const = default;
+};
+
+} // namespace papayafall
--- a/packages/core/include/papayafall/core/values/configuration.hpp
+++ b/packages/core/include/papayafall/core/values/configuration.hpp
@@ -13,7 +13,7 @@
 
 /// Limits and promises that operators declared for one service.
 struct service_configuration {
-    urgency_level urgency = urgency_level::normal;
+    urgency_level urgency = default_urgency;
     /// Time a request may take when the caller names none.
     std::chrono::milliseconds time_limit{1000};
     /// Whether a task may run more than once.
--- a/packages/core/include/papayafall/core/values/request.hpp
+++ b/packages/core/include/papayafall/core/values/request.hpp
@@ -15,6 +15,9 @@
 /// Declared importance of a request; a lower value goes first.
 enum class urgency_level : std::uint8_t { urgent = 0, normal = 1, background = 2 };
 
+/// Urgency where neither the request nor its service declares one.
+inline constexpr urgency_level default_urgency = urgency_level::normal;
+
 /// One unit of work of a request.
 struct task {
     bytes body;
@@ -38,7 +41,8 @@
     std::vector<task> tasks;
     /// Instant after which the caller has no use for an answer.
     time_point deadline = no_deadline;
-    urgency_level urgency = urgency_level::normal;
+    /// Empty where the caller names none: the urgency that the service declares applies.
+    std::optional<urgency_level> urgency;
 
     auto operator<=>(const request_fields&) const = default;
 };
--- a/packages/core/include/papayafall/core/values/work.hpp
+++ b/packages/core/include/papayafall/core/values/work.hpp
@@ -42,7 +42,7 @@
 struct work_item_fields {
     service_name service;
     team_name team;
-    urgency_level urgency = urgency_level::normal;
+    urgency_level urgency = default_urgency;
     bool idempotent = false;
     bytes body;
     std::optional<duration> declared_run_time;
--- a/packages/core/src/controllers/configuration_controller.cpp
+++ b/packages/core/src/controllers/configuration_controller.cpp
@@ -5,8 +5,8 @@
 namespace papayafall {
 
 configuration_controller::configuration_controller(blackboard& board)
-    : current_(board.current_configuration.claim()), watching_(board.watching.claim()),
-      fetch_due_(board.fetch_due.claim())
+    : current_(board.current_configuration.claim()), last_change_(board.last_change.claim()),
+      watching_(board.watching.claim()), fetch_due_(board.fetch_due.claim())
 {
 }
 
@@ -14,7 +14,7 @@
                                         const clock_reading& now)
 {
     if (const auto* it = std::get_if<configuration_received>(&incoming)) {
-        receive(board, it->content);
+        receive(board, *it, now.wall);
     } else if (const auto* heard = std::get_if<heartbeat_received>(&incoming)) {
         fetch(board, heard->beat, now.steady);
     }
@@ -31,13 +31,17 @@
     board.outbox.post(watch_configuration{elected});
 }
 
-void configuration_controller::receive(blackboard& board, const configuration& content)
+void configuration_controller::receive(blackboard& board, const configuration_received& incoming,
+                                       wall_time now)
 {
-    if (content->revision <= board.current_configuration.get()->revision) {
+    const revision_id before = board.current_configuration.get()->revision;
+    if (incoming.content->revision <= before) {
         return;
     }
-    current_.put(content);
-    board.outbox.post(configuration_applied{content});
+    const applied_change change{.since = now, .replaced = before, .origin = incoming.origin};
+    current_.put(incoming.content);
+    last_change_.put(change);
+    board.outbox.post(configuration_applied{incoming.content, change});
 }
 
 void configuration_controller::fetch(blackboard& board, const heartbeat& beat, time_point now)
--- a/packages/core/src/controllers/limit_controller.cpp
+++ b/packages/core/src/controllers/limit_controller.cpp
@@ -96,8 +96,9 @@
     }
     teams_.put(content->team, team);
 
-    const work_item sample(work_item_fields{
-        .service = content->service, .team = content->team, .urgency = content->urgency});
+    const work_item sample(work_item_fields{.service = content->service,
+                                            .team = content->team,
+                                            .urgency = content->urgency.value_or(default_urgency)});
     advance(board, sample, tasks);
 }
 
--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -57,7 +57,7 @@
     return work_item_fields{
         .service = content->service,
         .team = content->team,
-        .urgency = content->urgency,
+        .urgency = content->urgency.value_or(default_urgency),
         .idempotent = idempotent,
         .body = part.body,
         .declared_run_time = part.declared_run_time,
--- a/packages/core/src/controllers/status_controller.cpp
+++ b/packages/core/src/controllers/status_controller.cpp
@@ -50,6 +50,7 @@
     board.outbox.post(publish_status{status_fields{
         .self = board.self.get(),
         .current_configuration = board.current_configuration.get(),
+        .last_change = board.last_change.get(),
         .hosts = values_of(board.hosts),
         .targets = values_of(board.targets),
         .seats = seats_of(board, now.steady),
--- a/packages/core/src/controllers/submission_controller.cpp
+++ b/packages/core/src/controllers/submission_controller.cpp
@@ -86,15 +86,19 @@
            std::holds_alternative<home_here>(locate_home(board, *content->key, now));
 }
 
-/// Applies the limits that the service declares to a request that names none.
+/// Applies the deadline and the urgency that the service declares where a request names none.
 request with_defaults(const request& content, const configuration& current, time_point now)
 {
     const auto it = current->services.find(content->service);
-    if (it == current->services.end() || content->deadline != no_deadline) {
+    if (it == current->services.end()) {
         return content;
     }
-    return content.with(
-        [&](request_fields& fields) { fields.deadline = now + it->second.time_limit; });
+    return content.with([&](request_fields& fields) {
+        if (fields.deadline == no_deadline) {
+            fields.deadline = now + it->second.time_limit;
+        }
+        fields.urgency = fields.urgency.value_or(it->second.urgency);
+    });
 }
 
 } // namespace
--- a/packages/core/src/policies/admission_policy.cpp
+++ b/packages/core/src/policies/admission_policy.cpp
@@ -203,7 +203,7 @@
             return now_ - start_by;
         }
         const std::uint8_t lane = lane_of_request();
-        const auto urgency = static_cast<std::uint8_t>(content_->urgency);
+        const auto urgency = static_cast<std::uint8_t>(content_->urgency.value_or(default_urgency));
         const duration own = expected_ * tasks_;
         duration ahead = board_.waiting->work_before(lane, urgency);
         duration excess = now_ - start_by;
--- a/packages/core/tests/support/engine_fixture.hpp
+++ b/packages/core/tests/support/engine_fixture.hpp
@@ -3,6 +3,7 @@
 #include "papayafall/core/engine/standard_engine.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,13 +80,15 @@
         deliver(heartbeat_received{fields});
     }
 
-    void ask(std::size_t tasks = 1, duration limit = std::chrono::seconds(10))
+    void ask(std::size_t tasks = 1, duration limit = std::chrono::seconds(10),
+             std::optional<urgency_level> urgency = std::nullopt)
     {
         deliver(request_received{call_id(++calls_),
                                  request(request_fields{.service = service_name("quote"),
                                                         .team = team_name("desk"),
                                                         .tasks = std::vector<task>(tasks),
-                                                        .deadline = now_ + limit})});
+                                                        .deadline = now_ + limit,
+                                                        .urgency = urgency})});
     }
 
     template <typename Action>
--- a/packages/daemon/include/papayafall/daemon/platform/configuration_watcher.hpp
+++ b/packages/daemon/include/papayafall/daemon/platform/configuration_watcher.hpp
@@ -25,7 +25,7 @@
     void take_watched(const platform_result<read_result>& result, modify_index after,
                       time_point sent_at);
     void take_record(const stored_value& found);
-    void publish(const configuration& content);
+    void publish(const configuration& content, const std::optional<change_origin>& origin);
     void retry();
 
     const platform_agent_options& options_;
--- a/packages/daemon/src/control/action_router.cpp
+++ b/packages/daemon/src/control/action_router.cpp
@@ -37,6 +37,17 @@
     {"stop_process", destination::process},
 }};
 
+/// Records that this host took a revision into force, and whose change it was where that is known.
+void write_audit(const configuration_applied& it)
+{
+    const change_origin origin = it.change.origin.value_or(change_origin{});
+    write_log(log_level::info, "configuration revision in force",
+              {{"revision", it.content->revision.value()},
+               {"base", it.change.replaced.value()},
+               {"plan", origin.plan.text()},
+               {"operator", origin.author.text()}});
+}
+
 static_assert(std::is_same_v<std::variant_alternative_t<16, action>, stop_process>);
 static_assert(std::is_same_v<std::variant_alternative_t<5, action>, start_exchange>);
 
@@ -83,8 +94,7 @@
         break;
     }
     if (const auto* applied = std::get_if<configuration_applied>(&requested)) {
-        write_log(log_level::info, "configuration revision in force",
-                  {{"revision", applied->content->revision.value()}});
+        write_audit(*applied);
         targets_.peers.post(*applied);
     } else {
         targets_.stop();
--- a/packages/daemon/src/peers/incoming_link.cpp
+++ b/packages/daemon/src/peers/incoming_link.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 incoming_link::incoming_link(QTcpSocket* socket, const channel_context& context, due_answers& due,
-                             const configuration& current, event_sink& events)
+                             const served_configuration& current, event_sink& events)
     : context_(context), due_(&due), current_(&current), events_(&events),
       channel_(socket, link_role::responder, context, *this)
 {
@@ -112,7 +112,7 @@
 
 void incoming_link::accept(const configuration_request& /*message*/)
 {
-    write(configuration_reply{*current_});
+    write(configuration_reply{current_->content, current_->origin});
     flush();
 }
 
--- a/packages/daemon/src/peers/incoming_link.hpp
+++ b/packages/daemon/src/peers/incoming_link.hpp
@@ -3,6 +3,7 @@
 #include "frame_channel.hpp"
 
 #include "papayafall/core/engine/sinks.hpp"
+#include "papayafall/core/values/change_origin.hpp"
 #include "papayafall/core/values/configuration.hpp"
 
 #include <boost/intrusive/list.hpp>
@@ -17,6 +18,14 @@
 
 class incoming_link;
 
+/// The configuration in force on this host, as peers fetch it.
+struct served_configuration {
+    configuration content;
+    std::optional<change_origin> origin;
+
+    auto operator<=>(const served_configuration&) const = default;
+};
+
 /// Who waits for an answer of this process.
 using answer_receiver = std::variant<peer_origin, peer_owner>;
 
@@ -46,7 +55,7 @@
     /// @param socket  connected; the link deletes it
     /// @param current configuration in force on this host; outlives the link
     incoming_link(QTcpSocket* socket, const channel_context& context, due_answers& due,
-                  const configuration& current, event_sink& events);
+                  const served_configuration& current, event_sink& events);
     ~incoming_link() override;
 
     bool closed() const noexcept { return channel_.closed(); }
@@ -85,7 +94,7 @@
 
     channel_context context_;
     due_answers* due_;
-    const configuration* current_;
+    const served_configuration* current_;
     event_sink* events_;
     peer_id peer_;
     boost::intrusive::list<due_answer, boost::intrusive::constant_time_size<false>> own_due_;
--- a/packages/daemon/src/peers/outgoing_link.cpp
+++ b/packages/daemon/src/peers/outgoing_link.cpp
@@ -218,7 +218,7 @@
     if (fetch_ == nullptr || !fetch_->written) {
         return;
     }
-    events_->post(configuration_received{message.content});
+    events_->post(configuration_received{message.content, message.origin});
     finish(*fetch_);
 }
 
--- a/packages/daemon/src/peers/peer_hub.cpp
+++ b/packages/daemon/src/peers/peer_hub.cpp
@@ -109,7 +109,7 @@
 
 void peer_hub::carry_out(const configuration_applied& it)
 {
-    current_ = it.content;
+    current_ = {.content = it.content, .origin = it.change.origin};
 }
 
 void peer_hub::send(const peer_id& peer, const endpoint& address, const peer_message& message)
--- a/packages/daemon/src/peers/peer_hub.hpp
+++ b/packages/daemon/src/peers/peer_hub.hpp
@@ -68,7 +68,7 @@
     peer_metrics metrics_;
     qt_message_authenticator authenticator_;
     channel_context context_;
-    configuration current_;
+    served_configuration current_;
     outgoing_index outgoing_index_;
     due_answers due_;
     outgoing_links outgoing_;
--- a/packages/daemon/src/platform/configuration_watcher.cpp
+++ b/packages/daemon/src/platform/configuration_watcher.cpp
@@ -67,7 +67,9 @@
         retry();
         return;
     }
-    publish(std::get<configuration_reading>(result).content);
+    const auto& reading = std::get<configuration_reading>(result);
+    const auto& last = reading.last_change;
+    publish(reading.content, last ? std::optional(origin_of(*last)) : std::nullopt);
     watch(modify_index());
 }
 
@@ -97,7 +99,8 @@
 void configuration_watcher::take_record(const stored_value& found)
 {
     try {
-        publish(apply_change(current_, decode_change_record(found.data)));
+        const change_record record = decode_change_record(found.data);
+        publish(apply_change(current_, record), origin_of(record));
     } catch (const configuration_error&) {
         retry();
         return;
@@ -105,13 +108,14 @@
     watch(modify_index());
 }
 
-void configuration_watcher::publish(const configuration& content)
+void configuration_watcher::publish(const configuration& content,
+                                    const std::optional<change_origin>& origin)
 {
     if (content->revision <= current_->revision) {
         return;
     }
     current_ = content;
-    events_.post(configuration_received{content});
+    events_.post(configuration_received{content, origin});
 }
 
 void configuration_watcher::retry()
--- a/packages/daemon/src/process/dispatcher_process.cpp
+++ b/packages/daemon/src/process/dispatcher_process.cpp
@@ -106,6 +106,7 @@
         .address = platform.address,
         .zone = wanted->zone,
         .call_timeout = platform.call_timeout,
+        .token = read_platform_token(platform.token_file, "/platform/token_file"),
     });
 }
 
--- a/packages/daemon/tests/peers/unit-peer_traffic.cpp
+++ b/packages/daemon/tests/peers/unit-peer_traffic.cpp
@@ -140,7 +140,7 @@
         peer_process entry(make_peer_options("entry"));
         peer_process other(make_peer_options("other"));
         const configuration current({.revision = revision_id(12)});
-        other.traffic.post(configuration_applied{current});
+        other.traffic.post(configuration_applied{current, {}});
         entry.traffic.post(fetch_configuration{other.id, other.link()});
         CPPUNIT_ASSERT(entry.events.wait_for<configuration_received>().at(0).content == current);
     }
--- a/packages/platform/include/papayafall/platform/http/http_caller.hpp
+++ b/packages/platform/include/papayafall/platform/http/http_caller.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/values/host.hpp"
+#include "papayafall/platform/http/platform_token.hpp"
 #include "papayafall/platform/store/key_value_store.hpp"
 
 #include <QNetworkAccessManager>
@@ -18,6 +19,8 @@
     zone_name zone;
     /// Time that one call may take, besides the wait of a watch.
     std::chrono::milliseconds call_timeout{2000};
+    /// Sent with each call as X-Consul-Token; empty for none.
+    platform_token token;
 
     auto operator<=>(const http_platform_options&) const = default;
 };
--- a/packages/platform/src/http/http_caller.cpp
+++ b/packages/platform/src/http/http_caller.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t max_calls_in_flight = 6;
 
 constexpr int first_error_status = 400;
+constexpr int unauthorized_status = 401;
+constexpr int forbidden_status = 403;
 constexpr int first_server_error_status = 500;
 constexpr int not_found_status = 404;
 
@@ -48,6 +50,10 @@
 platform_failure status_failure(int status, const std::string& body, bool writes)
 {
     constexpr std::size_t max_detail = 200;
+    if (status == unauthorized_status || status == forbidden_status) {
+        return {error_id::unauthorized, write_effect::not_applied,
+                "the platform refused the token, or wants one"};
+    }
     const bool server_fault = status >= first_server_error_status;
     return {server_fault ? error_id::platform_unavailable : error_id::platform_protocol,
             server_fault && writes ? write_effect::may_have_been_applied
@@ -116,6 +122,9 @@
 {
     QNetworkRequest request(make_url(options_.address, call.path));
     request.setRawHeader("X-Papayafall-Zone", QByteArray::fromStdString(options_.zone.text()));
+    if (!options_.token.empty()) {
+        request.setRawHeader("X-Consul-Token", QByteArray::fromStdString(options_.token.secret()));
+    }
     request.setAttribute(QNetworkRequest::Http2AllowedAttribute, false);
     request.setHeader(QNetworkRequest::ContentTypeHeader, "application/json");
 
--- a/packages/platform/tests/support/stand_in_platform.cpp
+++ b/packages/platform/tests/support/stand_in_platform.cpp
@@ -111,6 +111,11 @@
             control(it);
             return true;
         }
+        if (!faults_.token.empty() &&
+            request.value("X-Consul-Token").toStdString() != faults_.token) {
+            it.answer("Permission denied", status_code::Forbidden);
+            return true;
+        }
         const std::string zone = request.value("X-Papayafall-Zone").toStdString();
         if (faults_.down || faults_.cut_zones.contains(zone)) {
             QTimer::singleShot(0, this, [it] { it.drop(); });
@@ -147,6 +152,7 @@
             .lose_answers = wanted.value("lose_answers", 0U),
             .end_sessions = wanted.value("end_sessions", false),
             .cut_zones = wanted.value("cut_zones", std::set<std::string>()),
+            .token = wanted.value("token", std::string()),
         });
         it.answer(wanted, status_code::Ok);
     }
--- a/packages/platform/tests/support/stand_in_platform.hpp
+++ b/packages/platform/tests/support/stand_in_platform.hpp
@@ -20,6 +20,7 @@
     std::uint32_t lose_answers = 0;  ///< next writes that are applied and lose their answer
     bool end_sessions = false;       ///< end every session now
     std::set<std::string> cut_zones; ///< callers of these zones are cut off
+    std::string token;               ///< calls without this token are refused; empty for any call
 
     auto operator<=>(const stand_in_faults&) const = default;
 };
--- a/packages/wire/include/papayafall/wire/configuration/change_record.hpp
+++ b/packages/wire/include/papayafall/wire/configuration/change_record.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "papayafall/core/values/change_origin.hpp"
 #include "papayafall/core/values/configuration.hpp"
 #include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
@@ -16,9 +17,6 @@
 
 namespace papayafall {
 
-using operator_name = basic_name<struct operator_name_tag>; ///< who states an intent
-using plan_id = basic_name<struct plan_id_tag>;             ///< 128-bit hash, 32 hex digits
-
 /// Operator's intent: canonical text of a JSON merge patch (RFC 7396) over the configuration.
 class intent_document {
   public:
@@ -85,6 +83,9 @@
 /// A plan that waits for its confirmation.
 using pending_plan = value<pending_plan_fields>;
 
+/// Who confirmed the change of `record`, and under which plan.
+change_origin origin_of(const change_record& record);
+
 /// Name of `kind` in JSON: "added", "changed" or "removed".
 std::string_view to_string(difference_kind kind) noexcept;
 
--- a/packages/wire/include/papayafall/wire/peer/message_limits.hpp
+++ b/packages/wire/include/papayafall/wire/peer/message_limits.hpp
@@ -6,7 +6,7 @@
 namespace papayafall {
 
 /// Version of the peer protocol that this code speaks; a message of any other version is rejected.
-inline constexpr std::uint8_t peer_protocol_version = 2;
+inline constexpr std::uint8_t peer_protocol_version = 3;
 
 /// Largest datagram in bytes, tag included; it fits the usual MTU unfragmented.
 inline constexpr std::size_t max_datagram_size = 1400;
--- a/packages/wire/include/papayafall/wire/peer/peer_message.hpp
+++ b/packages/wire/include/papayafall/wire/peer/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/values/answer.hpp"
+#include "papayafall/core/values/change_origin.hpp"
 #include "papayafall/core/values/configuration.hpp"
 #include "papayafall/core/values/request.hpp"
 #include "papayafall/core/values/work.hpp"
@@ -8,6 +9,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -85,6 +87,7 @@
 /// The configuration in force at the sender.
 struct configuration_reply {
     const configuration content;
+    const std::optional<change_origin> origin = std::nullopt; ///< where the sender knows it
 
     auto operator<=>(const configuration_reply&) const = default;
 };
--- a/packages/wire/include/papayafall/wire/settings/settings.hpp
+++ b/packages/wire/include/papayafall/wire/settings/settings.hpp
@@ -59,6 +59,8 @@
 struct platform_settings {
     platform_kind kind = platform_kind::memory;
     endpoint address; ///< for `http`
+    /// For `http`: file whose first line is the token of this host; empty for no token.
+    std::string token_file;
     std::chrono::milliseconds session_ttl{10'000};
     std::chrono::milliseconds call_timeout{2'000};
     std::chrono::milliseconds host_list_period{2'000};
--- a/packages/wire/src/configuration/change_record.cpp
+++ b/packages/wire/src/configuration/change_record.cpp
@@ -126,6 +126,11 @@
     return list;
 }
 
+change_origin origin_of(const change_record& record)
+{
+    return {.plan = record->plan, .author = record->author};
+}
+
 std::string_view to_string(difference_kind kind) noexcept
 {
     switch (kind) {
--- a/packages/wire/src/http/request_codec.cpp
+++ b/packages/wire/src/http/request_codec.cpp
@@ -52,12 +52,15 @@
     return team_name(std::string(text));
 }
 
-urgency_level parse_urgency(std::string_view text)
+std::optional<urgency_level> parse_urgency(std::string_view text)
 {
+    if (text.empty()) {
+        return std::nullopt;
+    }
     if (text == "urgent") {
         return urgency_level::urgent;
     }
-    if (text.empty() || text == "normal") {
+    if (text == "normal") {
         return urgency_level::normal;
     }
     if (text == "background") {
--- a/packages/wire/src/http/status_codec.cpp
+++ b/packages/wire/src/http/status_codec.cpp
@@ -101,6 +101,21 @@
     };
 }
 
+ordered_json encode(const applied_change& it)
+{
+    ordered_json document{
+        {"since_unix_ms", it.since.time_since_epoch().count()},
+        {"replaced", it.replaced.value()},
+        {"plan", nullptr},
+        {"operator", nullptr},
+    };
+    if (it.origin) {
+        document["plan"] = it.origin->plan.text();
+        document["operator"] = it.origin->author.text();
+    }
+    return document;
+}
+
 ordered_json encode(const seat_status& it)
 {
     return {
@@ -118,6 +133,7 @@
         {"self", encode(status->self)},
         {"ready", status->ready},
         {"revision", status->current_configuration->revision.value()},
+        {"change", encode(status->last_change)},
         {"submissions", status->submissions},
         {"queued_tasks", status->queued_tasks},
         {"running_tasks", status->running_tasks},
--- a/packages/wire/src/peer/fields.hpp
+++ b/packages/wire/src/peer/fields.hpp
@@ -3,6 +3,7 @@
 #include "archive.hpp"
 
 #include "papayafall/core/values/answer.hpp"
+#include "papayafall/core/values/change_origin.hpp"
 #include "papayafall/core/values/configuration.hpp"
 #include "papayafall/core/values/host.hpp"
 #include "papayafall/core/values/request.hpp"
@@ -16,6 +17,7 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -92,6 +94,36 @@
     it.value = static_cast<Enum>(number);
 }
 
+/// An enumerator that may be missing, together with the last one that is valid.
+template <typename Enum>
+struct optional_enum {
+    std::optional<Enum>& value;
+    Enum last;
+};
+
+template <typename Enum>
+void save(message_output& out, const optional_enum<Enum>& it)
+{
+    out(it.value.has_value());
+    if (it.value) {
+        out(bounded_enum<Enum>{*it.value, it.last});
+    }
+}
+
+template <typename Enum>
+void load(message_input& in, optional_enum<Enum>& it)
+{
+    bool present = false;
+    in(present);
+    if (!present) {
+        it.value.reset();
+        return;
+    }
+    Enum found{};
+    in(bounded_enum<Enum>{found, it.last});
+    it.value = found;
+}
+
 template <typename Archive>
 void serialize(Archive& archive, std::array<std::uint8_t, 16>& it)
 {
@@ -274,7 +306,7 @@
 {
     auto& [service, team, key, fingerprint, tasks, deadline, urgency] = it;
     archive(service, team, key, fingerprint, bounded(tasks, max_tasks_per_job), deadline,
-            bounded_enum<urgency_level>{urgency, urgency_level::background});
+            optional_enum<urgency_level>{urgency, urgency_level::background});
 }
 
 template <typename Archive>
@@ -332,6 +364,13 @@
     archive(seats);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, change_origin& it)
+{
+    auto& [plan, author] = it;
+    archive(plan, author);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, configuration_fields& it)
 {
--- a/packages/wire/src/peer/frame.cpp
+++ b/packages/wire/src/peer/frame.cpp
@@ -76,7 +76,7 @@
 
 void write(detail::message_output& out, const configuration_reply& it)
 {
-    out(it.content);
+    out(it.content, it.origin);
 }
 
 /// Reads a message of a given type; braces fix the order in which the fields are read.
@@ -140,7 +140,7 @@
 template <>
 configuration_reply read_message(detail::message_input& in)
 {
-    return {read<configuration>(in)};
+    return {read<configuration>(in), read<std::optional<change_origin>>(in)};
 }
 
 template <std::size_t... Index>
--- a/packages/wire/src/settings/settings.cpp
+++ b/packages/wire/src/settings/settings.cpp
@@ -133,6 +133,7 @@
     platform_settings result{
         .kind = kind,
         .address = kind == platform_kind::http ? read_endpoint(in, "port") : endpoint{},
+        .token_file = in.optional_text("token_file").value_or(""),
         .session_ttl = read_time(in, "session_ttl_ms", fallback.session_ttl),
         .call_timeout = read_time(in, "call_timeout_ms", fallback.call_timeout),
         .host_list_period = read_time(in, "host_list_period_ms", fallback.host_list_period),
--- a/packages/wire/tests/support/peer_samples.hpp
+++ b/packages/wire/tests/support/peer_samples.hpp
@@ -70,6 +70,9 @@
         hello{{host_name("entry-1"), incarnation_id(3)}, zone_name("north"), {1, 2, 3}},
         link_heartbeat{},
         forwarded_request{correlation_id(4), sample_request()},
+        forwarded_request{correlation_id(4), sample_request().with([](request_fields& it) {
+                              it.urgency = std::nullopt;
+                          })},
         forwarded_cancel{correlation_id(5), caller_key{"0190-key", made_at}},
         forwarded_answer{correlation_id(4), completion({{{200, bytes("ok")}, {404, bytes()}}})},
         forwarded_answer{correlation_id(6), refused},
@@ -79,6 +82,8 @@
         delegation_answer{exchange_id(8), refused},
         configuration_request{},
         configuration_reply{sample_configuration()},
+        configuration_reply{sample_configuration(),
+                            change_origin{plan_id("5f0c"), operator_name("ana")}},
     };
 }
 
--- a/packages/wire/tests/unit-http_codec.cpp
+++ b/packages/wire/tests/unit-http_codec.cpp
@@ -126,6 +126,7 @@
 
         const request plain = decode_single_request("quote", {}, "", now);
         CPPUNIT_ASSERT(!plain->key && plain->team.empty() && plain->deadline == no_deadline);
+        CPPUNIT_ASSERT(!plain->urgency);
     }
 
     void malformed_headers_are_refused()
