--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -1,6 +1,6 @@
 #include "papayafall/core/controllers/scheduling_controller.hpp"
 
-#include "papayafall/core/membership/live_hosts.hpp"
+#include "papayafall/core/policies/peer_capacity.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -306,6 +306,9 @@
     while (const auto exchange = board.exchanges.expired(now.steady)) {
         finish(board, exchange_finished{*exchange, no_answer{}}, now);
     }
+    while (const auto peer = board.delegations.expired(now.steady)) {
+        delegations_.erase(*peer);
+    }
 }
 
 void scheduling_controller::mark_overrun(blackboard& board, time_point now)
@@ -375,11 +378,7 @@
 {
     const exchange_id exchange = record(board, work, peer, now);
     const host_state* state = board.hosts.find(peer.host);
-    const delegation_state* known = board.delegations.find(peer);
-    delegation_state delegated = known == nullptr ? delegation_state{} : *known;
-    delegated.heartbeat = (*state)->last->sequence;
-    delegated.tasks += 1;
-    delegations_.put(peer, delegated, (*state)->alive_until);
+    delegations_.put(peer, after_delegation(peer, board), (*state)->alive_until);
     board.outbox.post(delegate_work{peer, (*state)->last->link, exchange, work->work});
 }
 
