Stop the control thread's work after a fault

After an invariant failed, each further batch and tick called the fault handler again and acted on a blackboard that is not trusted any more.

--- a/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
+++ b/packages/daemon/include/papayafall/daemon/control/control_thread.hpp
@@ -21,7 +21,7 @@
 /// timer wakes it for the deadlines.
 class control_thread : public event_sink {
   public:
-    /// Called on the control thread when the engine throws; the process must stop.
+    /// Called once, on the control thread, when the engine throws; the process must stop.
     using fault_handler = std::function<void(const std::exception&)>;
 
     /// @param clock read once for each batch; outlives this object
@@ -41,6 +41,9 @@
     void wake();
     void run_batch();
     void run_tick();
+    /// Runs a step of the engine and passes its actions on. After a step that threw, the
+    /// blackboard is not trusted any more and nothing further runs.
+    void run(const std::function<void()>& step);
     void pass_on();
     void check_invariants();
 
@@ -48,6 +51,7 @@
     action_sink* actions_ = nullptr;
     const clock_source& clock_;
     fault_handler on_fault_;
+    bool failed_ = false;
     QThread thread_;
     QObject context_; ///< lives on `thread_`
     std::unique_ptr<QTimer> timer_;
--- a/packages/daemon/src/control/control_thread.cpp
+++ b/packages/daemon/src/control/control_thread.cpp
@@ -73,20 +73,23 @@
     if (batch.empty()) {
         return;
     }
-    try {
-        core_->handle(batch, clock_.read());
-    } catch (const std::exception& ex) {
-        on_fault_(ex);
-        return;
-    }
-    pass_on();
+    run([&] { core_->handle(batch, clock_.read()); });
 }
 
 void control_thread::run_tick()
 {
+    run([this] { core_->tick(clock_.read()); });
+}
+
+void control_thread::run(const std::function<void()>& step)
+{
+    if (failed_) {
+        return;
+    }
     try {
-        core_->tick(clock_.read());
+        step();
     } catch (const std::exception& ex) {
+        failed_ = true;
         on_fault_(ex);
         return;
     }
@@ -106,11 +109,7 @@
     if (board.submissions.size() + board.queue.size() > invariant_entry_limit) {
         return;
     }
-    try {
-        board.check_invariants();
-    } catch (const std::exception& ex) {
-        on_fault_(ex);
-    }
+    run([&board] { board.check_invariants(); });
 }
 
 } // namespace papayafall
