Test that an uncertain task is never reported as not run

The randomised runs did not catch a mutation that reports a task which expires in the queue after an uncertain attempt as not run.

--- a/packages/core/tests/unit-submissions.cpp
+++ b/packages/core/tests/unit-submissions.cpp
@@ -21,6 +21,8 @@
     {
         configuration_fields content{.revision = revision_id(1)};
         content.services[service_name("book")] = {.time_limit = std::chrono::seconds(5)};
+        content.services[service_name("check")] = {.time_limit = std::chrono::seconds(5),
+                                                   .idempotent = true};
         content.teams[team_name("desk")] = {.slot_quota = 10};
         content.zones[zone_name("a")] = {.seats = 1};
         post(configuration_received{content});
@@ -56,10 +58,10 @@
 
     /// Sends a booking of one task; returns its call.
     call_id submit(const std::optional<request_key>& key, const std::string& body = "slot",
-                   std::uint64_t fingerprint = 1)
+                   std::uint64_t fingerprint = 1, const std::string& service = "book")
     {
         const call_id call(next_call_++);
-        post(request_received{call, request_fields{.service = service_name("book"),
+        post(request_received{call, request_fields{.service = service_name(service),
                                                    .team = team_name("desk"),
                                                    .key = key,
                                                    .fingerprint = fingerprint,
@@ -92,6 +94,9 @@
 
     failure failure_of(call_id call) const { return std::get<failure>(answer_of(call).value()); }
 
+    /// Sends a request of an idempotent service without a key; returns its call.
+    call_id submit_idempotent() { return submit(std::nullopt, "piece", 1, "check"); }
+
     /// The last started task ends with `outcome`.
     void finish(const exchange_outcome& outcome)
     {
@@ -196,6 +201,42 @@
     }
 };
 
+class retry_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(retry_test);
+    CPPUNIT_TEST(idempotent_request_without_a_key_is_tried_again);
+    CPPUNIT_TEST(uncertain_task_that_expires_in_the_queue_is_unknown);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void idempotent_request_without_a_key_is_tried_again()
+    {
+        single_host host;
+        const call_id call = host.submit_idempotent();
+        host.finish(connection_lost{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, host.all<start_exchange>().size());
+        host.finish(done);
+        CPPUNIT_ASSERT(std::holds_alternative<completion>(host.answer_of(call).value()));
+    }
+
+    void uncertain_task_that_expires_in_the_queue_is_unknown()
+    {
+        single_host host;
+        for (int n = 0; n < 100; ++n) {
+            host.submit_idempotent();
+            host.wait(std::chrono::seconds(1));
+            host.finish(done);
+        }
+        host.submit_idempotent();
+        const call_id uncertain = host.submit_idempotent();
+        host.submit_idempotent(); // waits, and gets the slot before the retry
+        host.finish(connection_lost{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{103}, host.all<start_exchange>().size());
+        CPPUNIT_ASSERT(!host.answer_of(uncertain));
+        host.wait(std::chrono::milliseconds(4800)); // too late to end within the deadline
+        CPPUNIT_ASSERT(host.failure_of(uncertain).run == run_state::unknown);
+    }
+};
+
 class home_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(home_test);
     CPPUNIT_TEST(lapsed_lease_starts_no_new_key);
@@ -320,6 +361,7 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(resubmission_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(retry_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(home_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_test);
 
