--- a/packages/cli/include/papayafall/cli/load/load_sample.hpp
+++ b/packages/cli/include/papayafall/cli/load/load_sample.hpp
@@ -11,8 +11,8 @@
 enum class load_outcome : std::uint8_t {
     in_time,       ///< the whole answer to this request, before its time limit
     late,          ///< the whole answer to this request, after its time limit
-    refused_early, ///< not run, told within `early_refusal_share` of the time limit
-    refused_late,  ///< not run, told later
+    refused_early, ///< not run, answered within `early_refusal_share` of the time limit
+    refused_late,  ///< not run, answered later
     cancelled,     ///< cancelled by the run itself
     failed,        ///< ran and failed
     unknown,       ///< may have run, or no answer came
--- a/packages/core/include/papayafall/core/policies/peer_capacity.hpp
+++ b/packages/core/include/papayafall/core/policies/peer_capacity.hpp
@@ -12,7 +12,7 @@
 class blackboard;
 
 /// Slots of `peer` that this host may still use by the peer's last heartbeat: a part of those
-/// that it told, because other hosts read the same heartbeat, less what was delegated since.
+/// that it reported, because other hosts read the same heartbeat, less what was delegated since.
 std::uint32_t spare_slots(const host_state& peer, const blackboard& board,
                           const clock_reading& now);
 
--- a/packages/core/include/papayafall/core/state/target_state.hpp
+++ b/packages/core/include/papayafall/core/state/target_state.hpp
@@ -34,9 +34,9 @@
     std::uint64_t failures = 0;
     /// Recent run time against what was expected, in thousandths.
     std::uint32_t relative_run_time = 1000;
-    /// The target itself told this host that it is leaving; peers are told so by heartbeat.
+    /// The target itself reported that it is leaving; heartbeats pass this on to peers.
     bool announced_leaving = false;
-    /// Whether the last host list that was believed names the target.
+    /// Whether the last host list that was accepted names the target.
     bool listed = true;
 
     auto operator<=>(const target_state_fields&) const = default;
@@ -71,7 +71,7 @@
     std::vector<host_name> hosts; ///< in the order of their names
     /// Instant from which the hosts are looked through again.
     time_point next_check{};
-    /// Host lists in a row that were not believed.
+    /// Host lists in a row that were not accepted.
     std::uint32_t doubtful_lists = 0;
 
     auto operator<=>(const target_division&) const = default;
--- a/packages/core/src/controllers/membership_controller.cpp
+++ b/packages/core/src/controllers/membership_controller.cpp
@@ -27,7 +27,7 @@
     return seats;
 }
 
-/// Targets that told this host so themselves: what a peer told is not passed on, or two hosts
+/// Targets that reported it to this host: what a peer reported is not passed on, or two hosts
 /// would go on telling each other.
 std::vector<target_name> leaving_targets(const blackboard& board)
 {
--- a/packages/core/src/controllers/target_controller.cpp
+++ b/packages/core/src/controllers/target_controller.cpp
@@ -15,7 +15,7 @@
 
 /// Time between two looks at the hosts that share the zone's targets.
 constexpr duration division_period = std::chrono::milliseconds(100);
-/// Lists in a row, each without most of the known targets, after which such a list is believed.
+/// Lists in a row, each without most of the known targets, after which such a list is accepted.
 constexpr std::uint32_t most_doubtful_lists = 3;
 constexpr duration removal_period = std::chrono::seconds(1);
 constexpr std::uint16_t first_server_error = 500;
--- a/packages/platform/src/outbound/outbound_client.cpp
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -104,7 +104,7 @@
            error == QNetworkReply::HostNotFoundError;
 }
 
-/// Whether the end of the body was told by more than the end of the connection.
+/// Whether the response states where its body ends, other than by closing the connection.
 bool is_delimited(const QNetworkReply& reply)
 {
     constexpr int no_content = 204;
--- a/packages/wire/include/papayafall/wire/http/http_status.hpp
+++ b/packages/wire/include/papayafall/wire/http/http_status.hpp
@@ -6,7 +6,7 @@
 
 namespace papayafall {
 
-/// HTTP status with which a failure is told to a caller.
+/// HTTP status of the response that reports a failure to a caller.
 std::uint16_t http_status(error_id id) noexcept;
 
 } // namespace papayafall
