Revert passing over peers that have work waiting

Cause, read from the code: admission counts the same spare slots, so that a host without a usable target of its own refuses while its peer has work waiting.

--- a/packages/core/src/policies/peer_capacity.cpp
+++ b/packages/core/src/policies/peer_capacity.cpp
@@ -17,8 +17,7 @@
 std::uint32_t spare_slots(const host_state& peer, const blackboard& board, const clock_reading& now)
 {
     const heartbeat& beat = peer->last;
-    // Free slots of a host that has work waiting are spoken for.
-    if (beat->leaving || beat->queued_tasks > 0 || peer->alive_until <= now.steady) {
+    if (beat->leaving || peer->alive_until <= now.steady) {
         return 0;
     }
     const std::uint32_t told = beat->free_slots - beat->free_slots / reserved_part;
