--- a/packages/core/src/controllers/scheduling_controller.cpp
+++ b/packages/core/src/controllers/scheduling_controller.cpp
@@ -91,6 +91,12 @@
     return deadline > no_deadline - grace ? no_deadline : deadline + grace;
 }
 
+/// Instant at which an exchange counts as lost though its traffic thread reported nothing.
+time_point given_up_at(const work_item& work, const blackboard& board)
+{
+    return with_grace(work->deadline, 2 * board.parameters->exchange_grace);
+}
+
 } // namespace
 
 scheduling_controller::scheduling_controller(blackboard& board, scheduling_policies policies)
@@ -191,7 +197,7 @@
         const exchange_state state = *board.exchanges.find(it);
         exchanges_.put(it,
                        state.with([](exchange_state_fields& fields) { fields.abandoned = true; }),
-                       with_grace(state->work->deadline, 2 * board.parameters->exchange_grace));
+                       given_up_at(state->work, board));
     }
 }
 
@@ -319,8 +325,7 @@
         occupy(board, state, -1);
         const exchange_state marked =
             state.with([](exchange_state_fields& it) { it.long_running = true; });
-        exchanges_.put(*exchange, marked,
-                       with_grace(state->work->deadline, 2 * board.parameters->exchange_grace));
+        exchanges_.put(*exchange, marked, given_up_at(state->work, board));
         occupy(board, marked, 1);
     }
 }
@@ -402,8 +407,7 @@
         .expected_run_time = work->expected_run_time,
         .long_running = long_from <= now.steady,
     });
-    exchanges_.put(exchange, state,
-                   with_grace(work->work->deadline, 2 * board.parameters->exchange_grace));
+    exchanges_.put(exchange, state, given_up_at(work->work, board));
     running_.put(work->owner, exchange);
     if (!state->long_running && long_from != no_deadline) {
         overrun_checks_.put(exchange, long_from, long_from);
