--- a/packages/core/include/papayafall/core/blackboard/blackboard.hpp
+++ b/packages/core/include/papayafall/core/blackboard/blackboard.hpp
@@ -116,6 +116,9 @@
     /// @throws invariant_error on the first breach
     /// Complexity: linear in the size of all sections.
     void check_invariants() const;
+
+    /// Submissions and waiting tasks, to which the cost of `check_invariants` is proportional.
+    std::size_t entry_count() const noexcept { return submissions.size() + queue.size(); }
 };
 
 } // namespace papayafall
--- a/packages/core/include/papayafall/core/engine/engine.hpp
+++ b/packages/core/include/papayafall/core/engine/engine.hpp
@@ -2,11 +2,14 @@
 
 #include "papayafall/core/blackboard/blackboard.hpp"
 #include "papayafall/core/controllers/controller.hpp"
+#include "papayafall/core/errors/exception.hpp"
 #include "papayafall/core/messages/action.hpp"
 #include "papayafall/core/messages/event.hpp"
 #include "papayafall/core/values/clock_reading.hpp"
 
+#include <cstddef>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace papayafall {
@@ -15,34 +18,89 @@
 ///
 /// The engine has no thread, no socket and no clock. The same engine runs in the daemon, in the
 /// randomised runs and behind any other front end.
-class engine {
+///
+/// @tparam Board has the sections `raised` (of `Event`) and `outbox` (of `Action`)
+template <typename Board, typename Event, typename Action>
+class basic_engine {
   public:
+    using board_type = Board;
+    using event_type = Event;
+    using action_type = Action;
+    using controller_type = basic_controller<Board, Event>;
+
     /// @param controllers run in this order for every event
-    engine(std::unique_ptr<blackboard> board, std::vector<std::unique_ptr<controller>> controllers);
+    basic_engine(std::unique_ptr<Board> board,
+                 std::vector<std::unique_ptr<controller_type>> controllers)
+        : board_(std::move(board)), controllers_(std::move(controllers))
+    {
+    }
 
     /// Handles one event and all events that the controllers raise because of it, then the
     /// deadlines that have passed.
     /// @throws invariant_error when the controllers keep raising events without end
-    void handle(const event& incoming, const clock_reading& now);
+    void handle(const Event& incoming, const clock_reading& now)
+    {
+        process(incoming, now);
+        tick(now);
+    }
 
     /// Handles a batch of events in order, then the deadlines that have passed.
-    void handle(const std::vector<event>& incoming, const clock_reading& now);
+    void handle(const std::vector<Event>& incoming, const clock_reading& now)
+    {
+        for (const Event& it : incoming) {
+            process(it, now);
+        }
+        tick(now);
+    }
 
     /// Acts on the deadlines that have passed.
-    void tick(const clock_reading& now);
+    void tick(const clock_reading& now)
+    {
+        for (const auto& it : controllers_) {
+            it->on_tick(*board_, now);
+            settle(now);
+        }
+    }
 
     /// Returns the actions posted since the last call, in order.
-    std::vector<action> take_actions();
+    std::vector<Action> take_actions() { return board_->outbox.drain(); }
 
-    const blackboard& board() const noexcept { return *board_; }
+    const Board& board() const noexcept { return *board_; }
 
   private:
-    void process(const event& incoming, const clock_reading& now);
+    /// Rounds of raised events after one event; more means that controllers feed each other.
+    static constexpr std::size_t max_rounds = 1000;
+
+    void process(const Event& incoming, const clock_reading& now)
+    {
+        for (const auto& it : controllers_) {
+            it->on_event(*board_, incoming, now);
+        }
+        settle(now);
+    }
+
     /// Handles the events that controllers raised, until none is left.
-    void settle(const clock_reading& now);
+    void settle(const clock_reading& now)
+    {
+        for (std::size_t n = 0; n < max_rounds; ++n) {
+            const std::vector<Event> raised = board_->raised.drain();
+            if (raised.empty()) {
+                return;
+            }
+            for (const Event& it : raised) {
+                for (const auto& target : controllers_) {
+                    target->on_event(*board_, it, now);
+                }
+            }
+        }
+        throw invariant_error("controllers raise events without end");
+    }
 
-    std::unique_ptr<blackboard> board_;
-    std::vector<std::unique_ptr<controller>> controllers_;
+    std::unique_ptr<Board> board_;
+    std::vector<std::unique_ptr<controller_type>> controllers_;
 };
 
+/// Engine of the callers' own interface.
+using engine = basic_engine<blackboard, event, action>;
+
 } // namespace papayafall
--- a/packages/core/include/papayafall/core/engine/sinks.hpp
+++ b/packages/core/include/papayafall/core/engine/sinks.hpp
@@ -5,26 +5,20 @@
 
 namespace papayafall {
 
-/// Takes events to the control thread. `post` may be called from any thread and never blocks.
-class event_sink {
+/// Takes messages to the thread that handles them. `post` may be called from any thread and never
+/// blocks.
+template <typename Message>
+class message_sink {
   public:
-    event_sink() = default;
-    event_sink(const event_sink&) = delete;
-    event_sink& operator=(const event_sink&) = delete;
-    virtual ~event_sink() = default;
+    message_sink() = default;
+    message_sink(const message_sink&) = delete;
+    message_sink& operator=(const message_sink&) = delete;
+    virtual ~message_sink() = default;
 
-    virtual void post(event incoming) = 0;
+    virtual void post(Message message) = 0;
 };
 
-/// Carries out actions of the core. `post` may be called from any thread and never blocks.
-class action_sink {
-  public:
-    action_sink() = default;
-    action_sink(const action_sink&) = delete;
-    action_sink& operator=(const action_sink&) = delete;
-    virtual ~action_sink() = default;
-
-    virtual void post(action requested) = 0;
-};
+using event_sink = message_sink<event>;   ///< takes events to the control thread
+using action_sink = message_sink<action>; ///< carries out actions of the core
 
 } // namespace papayafall
--- /dev/null
+++ b/packages/core/include/papayafall/core/jobs/controllers/health_controller.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "papayafall/core/jobs/board/job_board.hpp"
+#include "papayafall/core/jobs/policies/worker_ejection.hpp"
+
+#include <memory>
+
+namespace papayafall::jobs {
+
+/// Judges workers by what becomes of their runs.
+class health_controller : public job_controller {
+  public:
+    health_controller(job_board& board, std::shared_ptr<const worker_ejection_policy> ejection);
+
+    std::string_view name() const noexcept override { return "health"; }
+
+    void on_event(job_board& board, const job_event& incoming, const clock_reading& now) override;
+    void on_tick(job_board& board, const clock_reading& now) override;
+
+  private:
+    void put(job_board& board, const worker_id& id, worker_health health, time_point now,
+             const char* evidence);
+
+    std::shared_ptr<const worker_ejection_policy> ejection_;
+    table_writer<worker_id, worker_health> health_;
+};
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/include/papayafall/core/jobs/controllers/lifecycle_controller.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "papayafall/core/jobs/board/job_board.hpp"
+
+namespace papayafall::jobs {
+
+/// Follows the process from its start to its end: readiness, the reach of the store, a graceful
+/// stop. A stopping process goes on answering until its calls are done or its time is up.
+class job_lifecycle_controller : public job_controller {
+  public:
+    explicit job_lifecycle_controller(job_board& board);
+
+    std::string_view name() const noexcept override { return "lifecycle"; }
+
+    void on_event(job_board& board, const job_event& incoming, const clock_reading& now) override;
+    void on_tick(job_board& board, const clock_reading& now) override;
+
+  private:
+    void leave(job_board& board, time_point stop_by, time_point now);
+
+    cell_writer<lifecycle_state> state_;
+    cell_writer<bool> ready_;
+};
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/include/papayafall/core/jobs/controllers/peer_controller.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "papayafall/core/jobs/board/job_board.hpp"
+
+namespace papayafall::jobs {
+
+/// Keeps links to the other entry hosts and tells them what this dispatcher has room for.
+class peer_controller : public job_controller {
+  public:
+    explicit peer_controller(job_board& board);
+
+    std::string_view name() const noexcept override { return "peers"; }
+
+    void on_event(job_board& board, const job_event& incoming, const clock_reading& now) override;
+    void on_tick(job_board& board, const clock_reading& now) override;
+
+  private:
+    void list(job_board& board, const host_entry& entry);
+    void set_connected(job_board& board, const host_name& host, bool connected, time_point now);
+
+    table_writer<host_name, peer_state> peers_;
+    cell_writer<time_point> load_due_;
+};
+
+/// What the dispatcher of this process has room for.
+load_report own_load(const job_board& board);
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -0,0 +1,254 @@
+#pragma once
+
+#include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/membership.hpp"
+#include "papayafall/core/jobs/values/queue_configuration.hpp"
+#include "papayafall/core/jobs/values/worker.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace papayafall::jobs {
+
+// From the platform's store.
+
+struct store_reached {};
+
+struct store_lost {};
+
+struct configuration_read {
+    queue_configuration configuration;
+};
+
+struct worker_listed {
+    worker entry;
+};
+
+struct worker_unlisted {
+    worker_id id;
+};
+
+struct host_listed {
+    host_entry entry;
+};
+
+struct host_unlisted {
+    host_name host;
+};
+
+struct claim_listed {
+    cell_id cell;
+    cell_claim claim;
+};
+
+struct claim_unlisted {
+    cell_id cell;
+};
+
+enum class claim_result : std::uint8_t { granted, conflict, unanswered };
+
+struct claim_answered {
+    cell_id cell;
+    claim_result result = claim_result::unanswered;
+    store_revision revision; ///< of the new claim, where granted
+};
+
+// From callers.
+
+struct job_submitted {
+    call_id call;
+    std::string hostname;
+    std::string path;
+    job_spec job;
+    time_point received_at;
+    time_point answer_by; ///< the caller stops waiting
+};
+
+/// The caller asks for a queue's number of waiting jobs.
+struct queue_asked {
+    call_id call;
+    std::string hostname;
+    std::string path;
+};
+
+/// The caller asks for the state of a job, or to cancel it.
+struct job_asked {
+    call_id call;
+    std::string hostname;
+    std::string path;
+    job_id job;
+    bool cancel = false;
+};
+
+struct call_abandoned {
+    call_id call;
+};
+
+// From other entry hosts.
+
+struct peer_connected {
+    host_name host;
+    incarnation_id incarnation;
+};
+
+struct peer_lost {
+    host_name host;
+};
+
+struct load_reported {
+    host_name host;
+    load_report load;
+};
+
+struct delegation_answered {
+    delegation_id delegation;
+    job_outcome outcome = job_outcome::interrupted;
+};
+
+struct delegation_received {
+    job_origin origin;
+    job_order order;
+};
+
+struct delegation_withdrawn {
+    job_origin origin;
+};
+
+struct delegator_lost {
+    link_number link;
+};
+
+/// A former dispatcher has no more runs on a worker.
+struct worker_released {
+    worker_id id;
+};
+
+// From workers.
+
+enum class start_result : std::uint8_t {
+    accepted,
+    fenced,     ///< a higher token was seen
+    outdated,   ///< a run of that number or a higher one ended there
+    too_late,   ///< the lease had run out on arrival
+    no_room,
+    not_ready,  ///< an unhealthy worker; nothing was done
+    other_life, ///< another life of the worker answered
+    rejected,   ///< the order was not understood
+    unanswered, ///< it may be carried out, also later
+};
+
+const char* to_string(start_result it) noexcept;
+
+struct start_answered {
+    worker_id at;
+    run_name run;
+    start_result result = start_result::unanswered;
+};
+
+struct stop_answered {
+    worker_id at;
+    run_name run;
+    bool accepted = false; ///< the worker answered; else unknown
+};
+
+struct report_received {
+    worker_id at;
+    fencing_token token;
+    worker_report report;
+    time_point sent_at;
+    bool waited = false; ///< of the waiting call, not of a look
+};
+
+enum class call_failure : std::uint8_t {
+    refused,    ///< nothing listens at the address: the process is gone
+    broken,     ///< the connection ended
+    timed_out,
+    fenced,
+    other_life,
+    not_ready,
+};
+
+const char* to_string(call_failure it) noexcept;
+
+struct report_failed {
+    worker_id at;
+    fencing_token token;
+    call_failure reason = call_failure::broken;
+    bool waited = false;
+};
+
+// From the process.
+
+struct stop_requested {
+    time_point stop_by;
+};
+
+/// The process did not run for a while; its deadlines passed unseen.
+struct process_resumed {
+    duration suspended{};
+};
+
+// Raised by controllers for one another.
+
+struct cell_acquired {
+    cell_id cell;
+};
+
+struct cell_lost {
+    cell_id cell;
+};
+
+struct run_over {
+    worker_id at;
+    run_name run;
+    run_end how = run_end::unknown;
+};
+
+/// A run stood still, or was much slower than its kind.
+struct run_stalled {
+    worker_id at;
+};
+
+struct run_timed {
+    worker_id at;
+    double ratio = 1; ///< measured over expected run time
+};
+
+/// No run of this host goes on at the worker: its process is gone or every lease has lapsed.
+struct worker_emptied {
+    worker_id at;
+};
+
+/// Another host took the worker over, or this host gave it up with runs on it.
+struct worker_lost {
+    worker_id at;
+};
+
+/// The dispatcher of this process is done with a delegated job.
+struct job_over {
+    job_origin origin;
+    job_outcome outcome = job_outcome::interrupted;
+};
+
+/// A job went to another dispatcher.
+struct job_delegated {
+    host_name to;
+};
+
+/// An order extended the lease of a worker's runs.
+struct lease_extended {
+    worker_id at;
+    time_point lapsed_at;
+};
+
+using job_event =
+    std::variant<store_reached, store_lost, configuration_read, worker_listed, worker_unlisted,
+                 host_listed, host_unlisted, claim_listed, claim_unlisted, claim_answered,
+                 job_submitted, queue_asked, job_asked, call_abandoned, peer_connected, peer_lost,
+                 load_reported, delegation_answered, delegation_received, delegation_withdrawn,
+                 delegator_lost, worker_released, start_answered, stop_answered, report_received,
+                 report_failed, stop_requested, process_resumed, cell_acquired, cell_lost, run_over,
+                 run_stalled, run_timed, worker_emptied, worker_lost, job_over, job_delegated, lease_extended>;
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/board/job_board.cpp
@@ -0,0 +1,46 @@
+#include "papayafall/core/jobs/board/job_board.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/core/values/stable_hash.hpp"
+
+#include <map>
+#include <string>
+
+namespace papayafall::jobs {
+
+void job_board::check_invariants() const
+{
+    ensure(waiting.size() == waiting_ranks.size(), "each waiting task has one rank");
+    ensure(runs.size() == runs_by_worker.size(), "each run is known at its worker");
+    std::map<job_number, std::uint32_t> running;
+    std::map<worker_id, worker_load> used;
+    for (const auto& it : runs) {
+        ensure(jobs.contains(it.value.task.job), "each run belongs to a job");
+        ++running[it.value.task.job];
+        worker_load& load = used[it.value.at];
+        load.used = load.used + it.value.need;
+        ++load.runs;
+    }
+    for (const auto& it : jobs) {
+        ensure(it.value->running == running[it.key], "a job counts its runs");
+        ensure(!it.value->closing || it.value->running > 0, "a closing job has runs");
+    }
+    for (const auto& it : waiting_ranks) {
+        const job_state* job = jobs.find(it.key.job);
+        ensure(job != nullptr && !(*job)->closing, "a waiting task belongs to an open job");
+    }
+    for (const auto& it : loads) {
+        ensure(used[it.key] == it.value, "the load of a worker is that of its runs");
+    }
+    for (const auto& it : delegations) {
+        ensure(calls.contains(it.value), "each delegation belongs to a call");
+    }
+}
+
+cell_id job_board::cell_of(const worker_fields& it) const
+{
+    const std::uint64_t number = stable_hash(it.id.text()) % parameters.cells_per_zone;
+    return cell_id(it.zone.text() + "/" + std::to_string(number));
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/controllers/directory_controller.cpp
@@ -0,0 +1,129 @@
+#include "papayafall/core/jobs/controllers/directory_controller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <variant>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Time that workers have to list themselves again once the store is back.
+constexpr duration return_grace = std::chrono::milliseconds(2200);
+
+} // namespace
+
+directory_controller::directory_controller(job_board& board)
+    : queues_(board.queues.claim()), workers_(board.workers.claim()),
+      vanished_workers_(board.vanished_workers.claim()), hosts_(board.hosts.claim()),
+      claims_(board.claims.claim())
+{
+}
+
+void directory_controller::on_event(job_board& board, const job_event& incoming,
+                                    const clock_reading& now)
+{
+    if (const auto* it = std::get_if<configuration_read>(&incoming)) {
+        read_configuration(board, it->configuration);
+    }
+    if (const auto* it = std::get_if<worker_listed>(&incoming)) {
+        list_worker(board, it->entry);
+    }
+    if (const auto* it = std::get_if<worker_unlisted>(&incoming)) {
+        unlist_worker(board, it->id, now.steady);
+    }
+    if (const auto* it = std::get_if<host_listed>(&incoming)) {
+        hosts_.put(it->entry.host, it->entry);
+    }
+    if (const auto* it = std::get_if<host_unlisted>(&incoming)) {
+        hosts_.erase(it->host);
+    }
+    if (const auto* it = std::get_if<claim_listed>(&incoming)) {
+        list_claim(board, it->cell, it->claim, now.steady);
+    }
+    if (const auto* it = std::get_if<claim_unlisted>(&incoming)) {
+        unlist_claim(board, it->cell, now.steady);
+    }
+    if (const auto* it = std::get_if<claim_answered>(&incoming)) {
+        if (it->result == claim_result::granted) {
+            list_claim(board, it->cell,
+                       {.holder = board.self.host,
+                        .incarnation = board.self.incarnation,
+                        .revision = it->revision},
+                       now.steady);
+        }
+    }
+}
+
+void directory_controller::on_tick(job_board& board, const clock_reading& now)
+{
+    while (const auto gone = board.vanished_workers.expired(now.steady)) {
+        vanished_workers_.erase(*gone);
+        workers_.erase(*gone);
+        board.outbox.post(log_decision{"worker_gone", gone->text(), {{"reason", "not_listed"}}});
+    }
+}
+
+void directory_controller::read_configuration(job_board& board,
+                                              const queue_configuration& configuration)
+{
+    if (configuration->version <= (*board.queues)->version) {
+        return;
+    }
+    queues_.put(configuration);
+    board.outbox.post(log_decision{"configuration_applied",
+                                   std::to_string(configuration->version),
+                                   {{"queues", std::to_string(configuration->queues.size())}}});
+}
+
+void directory_controller::list_worker(job_board& board, const worker& entry)
+{
+    const worker* known = board.workers.find(entry->id);
+    vanished_workers_.erase(entry->id);
+    if (known != nullptr && *known == entry) {
+        return;
+    }
+    if (known == nullptr || (*known)->born != entry->born ||
+        (*known)->draining != entry->draining) {
+        board.outbox.post(log_decision{"worker_listed",
+                                       entry->id.text(),
+                                       {{"zone", entry->zone.text()},
+                                        {"born", std::to_string(entry->born)},
+                                        {"draining", entry->draining ? "1" : "0"}}});
+    }
+    workers_.put(entry->id, entry);
+}
+
+void directory_controller::unlist_worker(job_board& board, const worker_id& id, time_point now)
+{
+    if (!board.workers.contains(id)) {
+        return;
+    }
+    const time_point until = std::max(now, board.lifecycle->store_back_at + return_grace);
+    vanished_workers_.put(id, until, until);
+}
+
+void directory_controller::list_claim(job_board& board, const cell_id& cell,
+                                      const cell_claim& claim, time_point now)
+{
+    const claim_state* known = board.claims.find(cell);
+    if (known != nullptr && known->claim.revision > claim.revision) {
+        return;
+    }
+    if (known != nullptr && known->listed && known->claim == claim) {
+        return;
+    }
+    claims_.put(cell, {.claim = claim, .listed = true, .changed_at = now});
+}
+
+void directory_controller::unlist_claim(job_board& board, const cell_id& cell, time_point now)
+{
+    const claim_state* known = board.claims.find(cell);
+    if (known == nullptr || !known->listed) {
+        return;
+    }
+    claims_.put(cell, {.claim = known->claim, .listed = false, .changed_at = now});
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -0,0 +1,336 @@
+#include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Waiting tasks that are looked at in one step.
+constexpr std::size_t offered_tasks = 96;
+/// Tasks without a fitting worker after which the step ends.
+constexpr std::size_t miss_limit = 16;
+
+} // namespace
+
+dispatch_controller::dispatch_controller(job_board& board,
+                                         std::shared_ptr<const placement_policy> placement,
+                                         std::shared_ptr<const job_admission_policy> admission)
+    : placement_(std::move(placement)), admission_(std::move(admission)),
+      last_job_(board.last_job.claim()), jobs_(board.jobs.claim()),
+      jobs_by_id_(board.jobs_by_id.claim()), jobs_by_origin_(board.jobs_by_origin.claim()),
+      tasks_(board.tasks.claim()), waiting_(board.waiting.claim()),
+      waiting_ranks_(board.waiting_ranks.claim()), runs_(board.runs.claim()),
+      runs_by_worker_(board.runs_by_worker.claim()), loads_(board.loads.claim()),
+      statistics_(board.statistics.claim()), queued_work_(board.queued_work.claim())
+{
+}
+
+void dispatch_controller::on_event(job_board& board, const job_event& incoming,
+                                   const clock_reading& now)
+{
+    if (const auto* it = std::get_if<report_received>(&incoming)) {
+        reconcile(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<run_over>(&incoming)) {
+        over(board, it->run, it->how, now.steady);
+    }
+    if (const auto* it = std::get_if<start_answered>(&incoming)) {
+        start_answer(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<stop_answered>(&incoming)) {
+        stop_answer(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<delegation_received>(&incoming)) {
+        accept(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<delegation_withdrawn>(&incoming)) {
+        withdraw(board, it->origin, now.steady);
+    }
+    if (const auto* it = std::get_if<delegator_lost>(&incoming)) {
+        lose_link(board, it->link, now.steady);
+    }
+    if (const auto* it = std::get_if<worker_lost>(&incoming)) {
+        lose_worker(board, it->at, now.steady);
+    }
+    if (const auto* it = std::get_if<worker_emptied>(&incoming)) {
+        empty_worker(board, it->at, now.steady);
+    } else if (std::holds_alternative<process_resumed>(incoming)) {
+        drop_everything(board, now.steady);
+    }
+}
+
+void dispatch_controller::on_tick(job_board& board, const clock_reading& now)
+{
+    start_waiting(board, now.steady);
+    decide_waiting(board, now.steady);
+}
+
+void dispatch_controller::accept(job_board& board, const delegation_received& received,
+                                 time_point now)
+{
+    job_order order = received.order;
+    const queue_configuration_fields& queues = **board.queues;
+    if (queues.version > order->configuration_version) {
+        const queue_definition* queue = queues.find(order->queue);
+        if (queue == nullptr) {
+            board.raised.post(job_over{received.origin, job_outcome::unknown_queue});
+            return;
+        }
+        order = order.with([&](job_order_fields& it) {
+            it.service = queue->service;
+            it.configuration_version = queues.version;
+        });
+    }
+    if (const auto refused = refusal(board, *order, now)) {
+        board.raised.post(job_over{received.origin, *refused});
+        return;
+    }
+    if (const job_number* former = board.jobs_by_id.find(order->job->id)) {
+        finish(board, *former, job_outcome::interrupted, now);
+    }
+    const job_number number = board.last_job->next();
+    last_job_.put(number);
+    job_state_fields job{.order = order, .origin = received.origin};
+    for (const job_step& it : order->job->steps) {
+        job.unfinished.push_back(it.count);
+    }
+    const bool empty = std::all_of(job.unfinished.begin(), job.unfinished.end(),
+                                   [](std::uint32_t n) { return n == 0; });
+    if (empty) {
+        board.raised.post(job_over{received.origin, job_outcome::succeeded});
+        return;
+    }
+    jobs_.put(number, job, admission_->decide_by(*order));
+    jobs_by_id_.put(order->job->id, number);
+    jobs_by_origin_.put(received.origin, number);
+    for (std::uint32_t n = 0; n < order->job->steps.size(); ++n) {
+        if (order->job->steps[n].after.empty()) {
+            enqueue_step(board, number, n);
+        }
+    }
+}
+
+std::optional<job_outcome> dispatch_controller::refusal(const job_board& board,
+                                                        const job_order_fields& order,
+                                                        time_point now) const
+{
+    std::int64_t total = 0;
+    std::int64_t free = 0;
+    for (const auto& it : board.sessions) {
+        const worker* entry = board.workers.find(it.key);
+        const held_cell* held = board.cells.find(it.value.cell);
+        if (entry == nullptr || held == nullptr || held->phase != cell_phase::held ||
+            (*entry)->service != order.service || (*entry)->draining) {
+            continue;
+        }
+        const worker_load* load = board.loads.find(it.key);
+        total += (*entry)->room.cpu_millis;
+        free += it.value.phase == session_phase::ready
+                    ? (*entry)->room.cpu_millis - (load == nullptr ? 0 : load->used.cpu_millis)
+                    : 0;
+    }
+    if (total == 0) {
+        return job_outcome::refused;
+    }
+    const duration run_time = critical_path(*order.job);
+    const time_point start_by = order.objective_at - run_time;
+    // Cores in thousandths and microseconds.
+    std::int64_t ahead = 0;
+    for (const auto& it : board.waiting) {
+        if (it.key.group > 0 && it.key.start_by > start_by) {
+            break;
+        }
+        const job_state* job = board.jobs.find(it.value.job);
+        const job_step& step = (*job)->order->job->steps[it.value.step];
+        ahead += step.need.cpu_millis * step.estimate.count();
+    }
+    std::int64_t need = 0;
+    for (const job_step& it : order.job->steps) {
+        need = std::max(need, it.need.cpu_millis * std::int64_t{it.count});
+    }
+    const std::int64_t missing = std::max<std::int64_t>(0, need - std::max<std::int64_t>(free, 0));
+    const duration wait((ahead + missing * run_time.count()) / total);
+    if (!admission_->worth_waiting(order, {.wait = wait, .run_time = run_time}, now)) {
+        return job_outcome::refused;
+    }
+    return std::nullopt;
+}
+
+void dispatch_controller::finish(job_board& board, job_number number, job_outcome outcome,
+                                 time_point now)
+{
+    const job_state* found = board.jobs.find(number);
+    if (found == nullptr || (*found)->closing) {
+        return;
+    }
+    const job_state job = *found;
+    board.raised.post(job_over{job->origin, outcome});
+    jobs_by_origin_.erase(job->origin);
+    if (const job_number* current = board.jobs_by_id.find(job->order->job->id);
+        current != nullptr && *current == number) {
+        jobs_by_id_.erase(job->order->job->id);
+    }
+    std::vector<task_ref> waiting;
+    for (auto it = board.waiting_ranks.lower_bound({.job = number});
+         it != board.waiting_ranks.end() && it->key.job == number; ++it) {
+        waiting.push_back(it->key);
+    }
+    for (const task_ref& it : waiting) {
+        dequeue(board, it);
+    }
+    jobs_.put(number, board.jobs.find(number)->with([](job_state_fields& it) {
+        it.closing = true;
+    }));
+    std::vector<run_name> active;
+    for (auto it = board.runs.lower_bound({.job = job->order->job->id});
+         it != board.runs.end() && it->key.job == job->order->job->id; ++it) {
+        if (it->value.task.job == number) {
+            active.push_back(it->key);
+        }
+    }
+    for (const run_name& it : active) {
+        run_state run = *board.runs.find(it);
+        run.retry = false;
+        put_run(it, run);
+        stop(board, it, now);
+    }
+    if (active.empty()) {
+        forget(board, number);
+    }
+}
+
+void dispatch_controller::forget(job_board& board, job_number number)
+{
+    std::vector<task_ref> known;
+    for (auto it = board.tasks.lower_bound({.job = number});
+         it != board.tasks.end() && it->key.job == number; ++it) {
+        known.push_back(it->key);
+    }
+    for (const task_ref& it : known) {
+        tasks_.erase(it);
+    }
+    jobs_.erase(number);
+}
+
+void dispatch_controller::withdraw(job_board& board, const job_origin& origin, time_point now)
+{
+    if (const job_number* found = board.jobs_by_origin.find(origin)) {
+        finish(board, job_number(*found), job_outcome::cancelled, now);
+    }
+}
+
+void dispatch_controller::lose_link(job_board& board, link_number link, time_point now)
+{
+    std::vector<job_number> lost;
+    for (auto it = board.jobs_by_origin.lower_bound({.link = link});
+         it != board.jobs_by_origin.end() && it->key.link == link; ++it) {
+        lost.push_back(it->value);
+    }
+    for (const job_number it : lost) {
+        board.outbox.post(
+            log_decision{"job_orphaned",
+                         (*board.jobs.find(it))->order->job->id.text(),
+                         {{"link", std::to_string(link.value())}}});
+        finish(board, it, job_outcome::interrupted, now);
+    }
+}
+
+void dispatch_controller::drop_everything(job_board& board, time_point now)
+{
+    std::vector<job_number> all;
+    for (const auto& it : board.jobs) {
+        all.push_back(it.key);
+    }
+    for (const job_number it : all) {
+        finish(board, it, job_outcome::interrupted, now);
+    }
+}
+
+void dispatch_controller::decide_waiting(job_board& board, time_point now)
+{
+    while (const auto due = board.jobs.expired(now)) {
+        const job_state job = *board.jobs.find(*due);
+        const job_order_fields& order = *job->order;
+        if (job->closing || job->started) {
+            jobs_.put(*due, job);
+            continue;
+        }
+        if (now >= order.useful_until || refusal(board, order, now)) {
+            finish(board, *due, job_outcome::refused, now);
+            continue;
+        }
+        jobs_.put(*due, job, order.useful_until);
+    }
+}
+
+void dispatch_controller::enqueue_step(job_board& board, job_number number, std::uint32_t step)
+{
+    const std::uint32_t count = (*board.jobs.find(number))->order->job->steps[step].count;
+    for (std::uint32_t n = 0; n < count; ++n) {
+        const task_ref task{.job = number, .step = step, .index = n};
+        tasks_.put(task, {});
+        enqueue(board, task);
+    }
+}
+
+void dispatch_controller::enqueue(job_board& board, const task_ref& task)
+{
+    const job_state job = *board.jobs.find(task.job);
+    const job_step& step = job->order->job->steps[task.step];
+    const waiting_rank rank{
+        .group = static_cast<std::uint8_t>(job->started ? 0 : 1),
+        .start_by = job->order->objective_at -
+                    expected_run_time(board, job->order->queue, step),
+        .task = task,
+    };
+    waiting_.put(rank, task);
+    waiting_ranks_.put(task, rank);
+    queued_work_.put({board.queued_work->microseconds +
+                      step.estimate.count() * step.need.cpu_millis / 1000});
+}
+
+void dispatch_controller::dequeue(job_board& board, const task_ref& task)
+{
+    const waiting_rank rank = *board.waiting_ranks.find(task);
+    const job_step& step = (*board.jobs.find(task.job))->order->job->steps[task.step];
+    waiting_.erase(rank);
+    waiting_ranks_.erase(task);
+    queued_work_.put({board.queued_work->microseconds -
+                      step.estimate.count() * step.need.cpu_millis / 1000});
+}
+
+void dispatch_controller::start_waiting(job_board& board, time_point now)
+{
+    std::vector<task_ref> offered;
+    for (const auto& it : board.waiting) {
+        if (offered.size() == offered_tasks) {
+            break;
+        }
+        offered.push_back(it.value);
+    }
+    std::size_t misses = 0;
+    for (const task_ref& it : offered) {
+        if (misses == miss_limit) {
+            return;
+        }
+        if (!start(board, it, now)) {
+            ++misses;
+        }
+    }
+}
+
+duration dispatch_controller::expected_run_time(const job_board& board, const queue_name& queue,
+                                                const job_step& step) const
+{
+    const queue_statistics* known = board.statistics.find(queue);
+    const double factor = known == nullptr ? 1 : known->run_time_factor;
+    return std::chrono::duration_cast<duration>(step.estimate * factor);
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/controllers/health_controller.cpp
@@ -0,0 +1,96 @@
+#include "papayafall/core/jobs/controllers/health_controller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Weight of the newest run in a worker's slowness.
+constexpr double slowness_weight = 0.3;
+/// Time that a worker gets nothing after it refused a start.
+constexpr duration refusal_pause = std::chrono::milliseconds(150);
+/// Time that a worker gets nothing after it did not answer a start.
+constexpr duration silence_pause = std::chrono::milliseconds(400);
+
+worker_health known_health(const job_board& board, const worker_id& id)
+{
+    const worker_health* known = board.health.find(id);
+    return known == nullptr ? worker_health() : *known;
+}
+
+} // namespace
+
+health_controller::health_controller(job_board& board,
+                                     std::shared_ptr<const worker_ejection_policy> ejection)
+    : ejection_(std::move(ejection)), health_(board.health.claim())
+{
+}
+
+void health_controller::on_event(job_board& board, const job_event& incoming,
+                                 const clock_reading& now)
+{
+    if (const auto* it = std::get_if<run_over>(&incoming)) {
+        worker_health health = known_health(board, it->at);
+        if (it->how == run_end::failed) {
+            ++health.failures_in_a_row;
+            put(board, it->at, health, now.steady, "failed");
+        } else if (it->how == run_end::done &&
+                   (health.failures_in_a_row > 0 || health.stalls_in_a_row > 0)) {
+            health.failures_in_a_row = 0;
+            health.stalls_in_a_row = 0;
+            health_.put(it->at, health);
+        }
+    }
+    if (const auto* it = std::get_if<run_stalled>(&incoming)) {
+        worker_health health = known_health(board, it->at);
+        ++health.stalls_in_a_row;
+        put(board, it->at, health, now.steady, "stalled");
+    }
+    if (const auto* it = std::get_if<run_timed>(&incoming)) {
+        worker_health health = known_health(board, it->at);
+        health.slowness += slowness_weight * (it->ratio - health.slowness);
+        ++health.samples;
+        put(board, it->at, health, now.steady, "slow");
+    }
+    if (const auto* it = std::get_if<start_answered>(&incoming)) {
+        if (it->result == start_result::accepted) {
+            return;
+        }
+        worker_health health = known_health(board, it->at);
+        const bool silent = it->result == start_result::unanswered;
+        health.avoid_until =
+            std::max(health.avoid_until, now.steady + (silent ? silence_pause : refusal_pause));
+        health_.put(it->at, health);
+    }
+    if (const auto* it = std::get_if<worker_emptied>(&incoming)) {
+        health_.erase(it->at);
+    }
+}
+
+void health_controller::on_tick(job_board& /*board*/, const clock_reading& /*now*/) {}
+
+void health_controller::put(job_board& board, const worker_id& id, worker_health health,
+                            time_point now, const char* evidence)
+{
+    const time_point until = ejection_->avoid_until(health, now);
+    if (until > now) {
+        if (health.avoid_until <= now) {
+            board.outbox.post(log_decision{
+                "worker_avoided",
+                id.text(),
+                {{"evidence", evidence},
+                 {"failures", std::to_string(health.failures_in_a_row)},
+                 {"stalls", std::to_string(health.stalls_in_a_row)},
+                 {"slowness", std::to_string(health.slowness)}}});
+        }
+        health.avoid_until = std::max(health.avoid_until, until);
+    }
+    health_.put(id, health);
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -0,0 +1,294 @@
+#include "papayafall/core/jobs/controllers/intake_controller.hpp"
+
+#include "papayafall/core/jobs/controllers/peer_controller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Time after which a refused caller may come back.
+constexpr duration retry_after = std::chrono::seconds(1);
+/// Dispatchers that a job is offered to before it is refused.
+constexpr std::uint32_t attempt_limit = 2;
+/// Objectives after which an answer helps nobody.
+constexpr int useful_objectives = 3;
+
+bool is_supported(const job_spec_fields& job)
+{
+    if (!job.kind.best_effort || job.kind.long_running || job.kind.repetitions > 0) {
+        return false;
+    }
+    return std::none_of(job.steps.begin(), job.steps.end(),
+                        [](const job_step& it) { return it.gang; });
+}
+
+job_order make_order(const job_submitted& submitted, const queue_definition& queue,
+                     std::uint64_t version)
+{
+    const duration path = critical_path(*submitted.job);
+    const duration objective =
+        std::chrono::duration_cast<duration>(path * queue.stretch) + queue.objective_extra;
+    return job_order_fields{
+        .job = submitted.job,
+        .queue = queue.name,
+        .service = queue.service,
+        .configuration_version = version,
+        .max_attempts = std::max<std::uint32_t>(queue.max_attempts, 1),
+        .priority = queue.priority,
+        .received_at = submitted.received_at,
+        .objective_at = submitted.received_at + objective,
+        .useful_until = submitted.received_at + objective * useful_objectives,
+        .answer_by = submitted.answer_by,
+    };
+}
+
+} // namespace
+
+intake_controller::intake_controller(job_board& board,
+                                     std::shared_ptr<const dispatcher_selection_policy> selection,
+                                     std::shared_ptr<const job_admission_policy> admission)
+    : selection_(std::move(selection)), admission_(std::move(admission)),
+      last_delegation_(board.last_delegation.claim()), calls_(board.calls.claim()),
+      delegations_(board.delegations.claim())
+{
+}
+
+void intake_controller::on_event(job_board& board, const job_event& incoming,
+                                 const clock_reading& now)
+{
+    if (const auto* it = std::get_if<job_submitted>(&incoming)) {
+        submit(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<delegation_answered>(&incoming)) {
+        take_answer(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<queue_asked>(&incoming)) {
+        ask_queue(board, *it);
+    }
+    if (const auto* it = std::get_if<job_asked>(&incoming)) {
+        ask_job(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<call_abandoned>(&incoming)) {
+        abandon(board, it->call);
+    }
+    if (const auto* it = std::get_if<peer_lost>(&incoming)) {
+        lose_peer(board, it->host, now.steady);
+    }
+}
+
+void intake_controller::on_tick(job_board& board, const clock_reading& now)
+{
+    while (const auto due = board.calls.expired(now.steady)) {
+        const accepted_call call = *board.calls.find(*due);
+        const bool undecided = now.steady < admission_->decide_by(*call->order);
+        if (undecided) {
+            place(board, *due, call, now.steady);
+        } else {
+            finish(board, *due, job_outcome::refused, now.steady);
+        }
+    }
+}
+
+void intake_controller::submit(job_board& board, const job_submitted& submitted, time_point now)
+{
+    const queue_configuration_fields& queues = **board.queues;
+    const std::string& id = submitted.job->id.text();
+    if (queues.version == 0) {
+        board.outbox.post(log_decision{"job_refused", id, {{"reason", "no_configuration"}}});
+        board.outbox.post(
+            answer_job{submitted.call, job_outcome::refused, now + retry_after});
+        return;
+    }
+    const queue_definition* queue = queues.match(submitted.hostname, submitted.path);
+    if (queue == nullptr) {
+        board.outbox.post(log_decision{"job_refused",
+                                       id,
+                                       {{"reason", "unknown_queue"},
+                                        {"version", std::to_string(queues.version)}}});
+        board.outbox.post(answer_job{submitted.call, job_outcome::unknown_queue, now});
+        return;
+    }
+    if (!is_supported(*submitted.job)) {
+        board.outbox.post(log_decision{
+            "job_refused", id, {{"reason", "unsupported_kind"}, {"queue", queue->name.text()}}});
+        board.outbox.post(
+            answer_job{submitted.call, job_outcome::unsupported, now + retry_after});
+        return;
+    }
+    place(board, submitted.call,
+          accepted_call_fields{.order = make_order(submitted, *queue, queues.version)}, now);
+}
+
+void intake_controller::place(job_board& board, call_id call, const accepted_call& accepted,
+                              time_point now)
+{
+    std::vector<dispatcher_candidate> candidates;
+    if (const load_report own = own_load(board); own.accepting) {
+        candidates.push_back({.host = board.self.host, .same_zone = true, .load = own});
+    }
+    for (const auto& it : board.peers) {
+        if (!it.value.connected) {
+            continue;
+        }
+        const host_entry* entry = board.hosts.find(it.key);
+        candidates.push_back({.host = it.key,
+                              .same_zone = entry != nullptr && entry->zone == board.self.zone,
+                              .load = it.value.load,
+                              .sent_since = it.value.sent_since});
+    }
+    const auto chosen = selection_->choose(candidates);
+    if (!chosen) {
+        constexpr duration look_again = std::chrono::milliseconds(20);
+        calls_.put(call, accepted, now + look_again);
+        return;
+    }
+    const host_name& to = candidates[*chosen].host;
+    const delegation_id delegation = board.last_delegation->next();
+    last_delegation_.put(delegation);
+    delegations_.put(delegation, call);
+    calls_.put(call, accepted.with([&](accepted_call_fields& it) {
+        it.delegation = delegation;
+        it.dispatcher = to;
+        ++it.attempts;
+    }));
+    if (to == board.self.host) {
+        board.raised.post(
+            delegation_received{{.link = {}, .delegation = delegation}, accepted->order});
+    } else {
+        board.outbox.post(delegate_job{to, delegation, accepted->order});
+        board.raised.post(job_delegated{to});
+    }
+}
+
+void intake_controller::ask_queue(job_board& board, const queue_asked& asked)
+{
+    const queue_configuration_fields& queues = **board.queues;
+    const queue_definition* queue = queues.match(asked.hostname, asked.path);
+    if (queue == nullptr) {
+        board.outbox.post(answer_queue{asked.call, std::nullopt});
+        return;
+    }
+    std::uint64_t waiting = 0;
+    for (const auto& it : board.jobs) {
+        if (it.value->order->queue == queue->name && !it.value->started && !it.value->closing) {
+            ++waiting;
+        }
+    }
+    board.outbox.post(answer_queue{asked.call, waiting});
+}
+
+void intake_controller::ask_job(job_board& board, const job_asked& asked, time_point now)
+{
+    const queue_configuration_fields& queues = **board.queues;
+    if (queues.version == 0) {
+        board.outbox.post(answer_status{asked.call, job_status::no_configuration});
+        return;
+    }
+    if (queues.match(asked.hostname, asked.path) == nullptr) {
+        board.outbox.post(answer_status{asked.call, job_status::unknown_queue});
+        return;
+    }
+    std::optional<call_id> found;
+    for (const auto& it : board.calls) {
+        if (it.value->order->job->id == asked.job) {
+            found = it.key;
+        }
+    }
+    if (!found) {
+        board.outbox.post(answer_status{asked.call, job_status::unknown});
+        return;
+    }
+    if (asked.cancel) {
+        withdraw(board, *board.calls.find(*found));
+        finish(board, *found, job_outcome::cancelled, now);
+    }
+    board.outbox.post(
+        answer_status{asked.call, asked.cancel ? job_status::cancelled : job_status::running});
+}
+
+void intake_controller::abandon(job_board& board, call_id call)
+{
+    const accepted_call* found = board.calls.find(call);
+    if (found == nullptr) {
+        return;
+    }
+    const accepted_call accepted = *found;
+    board.outbox.post(log_decision{"job_abandoned",
+                                   accepted->order->job->id.text(),
+                                   {{"dispatcher", accepted->dispatcher.text()}}});
+    withdraw(board, accepted);
+    delegations_.erase(accepted->delegation);
+    calls_.erase(call);
+}
+
+void intake_controller::lose_peer(job_board& board, const host_name& host, time_point now)
+{
+    std::vector<call_id> lost;
+    for (const auto& it : board.calls) {
+        if (it.value->dispatcher == host) {
+            lost.push_back(it.key);
+        }
+    }
+    for (const call_id it : lost) {
+        finish(board, it, job_outcome::interrupted, now);
+    }
+}
+
+void intake_controller::take_answer(job_board& board, const delegation_answered& answered,
+                                    time_point now)
+{
+    const call_id* found = board.delegations.find(answered.delegation);
+    if (found == nullptr) {
+        return;
+    }
+    const call_id call = *found;
+    const accepted_call accepted = *board.calls.find(call);
+    if (answered.outcome == job_outcome::refused && accepted->attempts < attempt_limit &&
+        now < admission_->decide_by(*accepted->order)) {
+        delegations_.erase(answered.delegation);
+        place(board, call, accepted.with([](accepted_call_fields& it) { it.dispatcher = {}; }),
+              now);
+        return;
+    }
+    finish(board, call, answered.outcome, now);
+}
+
+void intake_controller::withdraw(job_board& board, const accepted_call& accepted)
+{
+    if (accepted->dispatcher.empty()) {
+        return;
+    }
+    if (accepted->dispatcher == board.self.host) {
+        board.raised.post(
+            delegation_withdrawn{{.link = {}, .delegation = accepted->delegation}});
+    } else {
+        board.outbox.post(withdraw_delegation{accepted->dispatcher, accepted->delegation});
+    }
+}
+
+void intake_controller::finish(job_board& board, call_id call, job_outcome outcome, time_point now)
+{
+    const accepted_call accepted = *board.calls.find(call);
+    const job_order_fields& order = *accepted->order;
+    const auto taken =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - order.received_at);
+    board.outbox.post(log_decision{"job_answered",
+                                   order.job->id.text(),
+                                   {{"outcome", to_string(outcome)},
+                                    {"dispatcher", accepted->dispatcher.text()},
+                                    {"attempts", std::to_string(accepted->attempts)},
+                                    {"ms", std::to_string(taken.count())},
+                                    {"late", now > order.objective_at ? "1" : "0"}}});
+    board.outbox.post(answer_job{call, outcome, now + retry_after});
+    delegations_.erase(accepted->delegation);
+    calls_.erase(call);
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -0,0 +1,115 @@
+#include "papayafall/core/jobs/controllers/peer_controller.hpp"
+
+#include <chrono>
+#include <variant>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Time between two load reports.
+constexpr duration load_period = std::chrono::milliseconds(100);
+
+} // namespace
+
+load_report own_load(const job_board& board)
+{
+    load_report load;
+    bool held = false;
+    for (const auto& it : board.cells) {
+        held = held || it.value.phase == cell_phase::held;
+    }
+    for (const auto& it : board.sessions) {
+        const worker* entry = board.workers.find(it.key);
+        if (entry == nullptr || it.value.phase != session_phase::ready || (*entry)->draining) {
+            continue;
+        }
+        const worker_load* used = board.loads.find(it.key);
+        const std::int64_t busy = used == nullptr ? 0 : used->used.cpu_millis;
+        load.total_cpu_millis += (*entry)->room.cpu_millis;
+        load.free_cpu_millis += (*entry)->room.cpu_millis - busy;
+    }
+    load.accepting = held && !board.lifecycle->leaving && load.total_cpu_millis > 0;
+    if (load.total_cpu_millis > 0) {
+        // A microsecond of one core takes 1000 thousandths of a core for that long.
+        load.wait = duration(board.queued_work->microseconds * 1000 / load.total_cpu_millis);
+    }
+    return load;
+}
+
+peer_controller::peer_controller(job_board& board)
+    : peers_(board.peers.claim()), load_due_(board.load_due.claim())
+{
+}
+
+void peer_controller::on_event(job_board& board, const job_event& incoming,
+                               const clock_reading& now)
+{
+    if (const auto* it = std::get_if<host_listed>(&incoming)) {
+        list(board, it->entry);
+    }
+    if (const auto* it = std::get_if<peer_connected>(&incoming)) {
+        peers_.put(it->host, {.incarnation = it->incarnation,
+                              .connected = true,
+                              .changed_at = now.steady});
+        board.outbox.post(log_decision{"peer_connected", it->host.text(), {}});
+    }
+    if (const auto* it = std::get_if<peer_lost>(&incoming)) {
+        set_connected(board, it->host, false, now.steady);
+        board.outbox.post(log_decision{"peer_lost", it->host.text(), {}});
+    }
+    if (const auto* it = std::get_if<load_reported>(&incoming)) {
+        if (const peer_state* known = board.peers.find(it->host)) {
+            peer_state state = *known;
+            state.load = it->load;
+            state.sent_since = 0;
+            peers_.put(it->host, state);
+        }
+    }
+    if (const auto* it = std::get_if<job_over>(&incoming)) {
+        if (it->origin.link == link_number()) {
+            board.raised.post(delegation_answered{it->origin.delegation, it->outcome});
+        } else {
+            board.outbox.post(answer_delegation{it->origin, it->outcome});
+        }
+    }
+    if (const auto* it = std::get_if<job_delegated>(&incoming)) {
+        if (const peer_state* known = board.peers.find(it->to)) {
+            peer_state state = *known;
+            ++state.sent_since;
+            peers_.put(it->to, state);
+        }
+    }
+}
+
+void peer_controller::on_tick(job_board& board, const clock_reading& now)
+{
+    if (now.steady < *board.load_due) {
+        return;
+    }
+    load_due_.put(now.steady + load_period);
+    board.outbox.post(publish_load{own_load(board)});
+}
+
+void peer_controller::list(job_board& board, const host_entry& entry)
+{
+    if (entry.host == board.self.host) {
+        return;
+    }
+    board.outbox.post(connect_peer{entry});
+}
+
+void peer_controller::set_connected(job_board& board, const host_name& host, bool connected,
+                                    time_point now)
+{
+    const peer_state* known = board.peers.find(host);
+    if (known == nullptr) {
+        return;
+    }
+    peer_state state = *known;
+    state.connected = connected;
+    state.changed_at = now;
+    peers_.put(host, state);
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -0,0 +1,378 @@
+#include "papayafall/core/jobs/controllers/session_controller.hpp"
+
+#include "papayafall/core/jobs/state/worker_lease.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace papayafall::jobs {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time that a report waits for an end while there are runs.
+constexpr milliseconds report_wait{200};
+/// Time that a worker has for an answer beyond what it waits.
+constexpr duration answer_time = milliseconds(250);
+/// Age of a clock reading from which an idle worker is asked again.
+constexpr duration idle_refresh = std::chrono::seconds(5);
+/// Time between two attempts to reach a worker.
+constexpr duration retry_delay = milliseconds(200);
+
+} // namespace
+
+worker_address address_of(const job_board& board, const worker_id& id,
+                          const worker_session& session)
+{
+    const worker* entry = board.workers.find(id);
+    return {.id = id,
+            .address = entry == nullptr ? endpoint() : (*entry)->address,
+            .token = session.token};
+}
+
+session_controller::session_controller(job_board& board) : sessions_(board.sessions.claim()) {}
+
+void session_controller::on_event(job_board& board, const job_event& incoming,
+                                  const clock_reading& now)
+{
+    if (const auto* it = std::get_if<report_received>(&incoming)) {
+        read(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<report_failed>(&incoming)) {
+        fail(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<lease_extended>(&incoming)) {
+        if (const worker_session* known = board.sessions.find(it->at)) {
+            worker_session session = *known;
+            session.lapsed_at = std::max(session.lapsed_at, it->lapsed_at);
+            sessions_.put(it->at, std::move(session));
+        }
+    }
+    if (const auto* it = std::get_if<stop_answered>(&incoming)) {
+        const worker_session* known = board.sessions.find(it->at);
+        if (known != nullptr && it->accepted) {
+            look(board, it->at, *known, now.steady);
+        }
+    }
+    if (const auto* it = std::get_if<cell_acquired>(&incoming)) {
+        acquire(board, it->cell, now.steady);
+    }
+    if (const auto* it = std::get_if<cell_lost>(&incoming)) {
+        lose_cell(board, it->cell);
+    }
+    if (const auto* it = std::get_if<worker_listed>(&incoming)) {
+        list(board, it->entry, now.steady);
+    }
+    if (const auto* it = std::get_if<worker_released>(&incoming)) {
+        const worker_session* known = board.sessions.find(it->id);
+        if (known != nullptr && known->phase == session_phase::awaiting_release) {
+            look(board, it->id, *known, now.steady);
+        }
+    }
+    if (const auto* it = std::get_if<peer_lost>(&incoming)) {
+        former_lost(board, it->host, now.steady);
+    } else if (std::holds_alternative<process_resumed>(incoming)) {
+        suspend(board, now.steady);
+    }
+}
+
+void session_controller::on_tick(job_board& board, const clock_reading& now)
+{
+    std::vector<std::pair<worker_id, worker_session>> all;
+    all.reserve(board.sessions.size());
+    for (const auto& it : board.sessions) {
+        all.emplace_back(it.key, it.value);
+    }
+    for (const auto& [id, session] : all) {
+        if (release(board, id, session)) {
+            continue;
+        }
+        keep(board, id, session, now.steady);
+    }
+}
+
+void session_controller::acquire(job_board& board, const cell_id& cell, time_point now)
+{
+    const held_cell* held = board.cells.find(cell);
+    if (held == nullptr) {
+        return;
+    }
+    for (const auto& it : board.workers) {
+        if (board.cell_of(*it.value) != cell) {
+            continue;
+        }
+        if (const worker_session* known = board.sessions.find(it.key)) {
+            worker_session session = *known;
+            session.token = held->token;
+            sessions_.put(it.key, std::move(session));
+            continue;
+        }
+        open(board, *it.value, *held, now);
+    }
+}
+
+void session_controller::open(job_board& board, const worker_fields& entry, const held_cell& held,
+                              time_point now)
+{
+    worker_session session{.cell = board.cell_of(entry), .token = held.token};
+    if (!held.former.empty() && now < held.release_by) {
+        session.phase = session_phase::awaiting_release;
+        session.lapsed_at = held.release_by;
+        sessions_.put(entry.id, std::move(session));
+        return;
+    }
+    look(board, entry.id, std::move(session), now);
+}
+
+void session_controller::lose_cell(job_board& board, const cell_id& cell)
+{
+    std::vector<worker_id> lost;
+    for (const auto& it : board.sessions) {
+        if (it.value.cell == cell) {
+            lost.push_back(it.key);
+        }
+    }
+    for (const worker_id& it : lost) {
+        board.raised.post(worker_lost{it});
+        close(board, it);
+    }
+}
+
+void session_controller::close(job_board& board, const worker_id& id)
+{
+    sessions_.erase(id);
+    board.outbox.post(forget_worker{id});
+}
+
+void session_controller::list(job_board& board, const worker& entry, time_point now)
+{
+    const worker_session* known = board.sessions.find(entry->id);
+    if (known != nullptr) {
+        if (known->born != 0 && entry->born != 0 && known->born < entry->born) {
+            board.raised.post(worker_emptied{entry->id});
+            look(board, entry->id, {.cell = known->cell, .token = known->token}, now);
+        }
+        return;
+    }
+    const held_cell* held = board.cells.find(board.cell_of(*entry));
+    if (held != nullptr && held->phase == cell_phase::held) {
+        open(board, *entry, *held, now);
+    }
+}
+
+void session_controller::former_lost(job_board& board, const host_name& host, time_point now)
+{
+    std::vector<std::pair<worker_id, worker_session>> waiting;
+    for (const auto& it : board.sessions) {
+        if (it.value.phase != session_phase::awaiting_release) {
+            continue;
+        }
+        const held_cell* held = board.cells.find(it.value.cell);
+        if (held != nullptr && held->former == host) {
+            waiting.emplace_back(it.key, it.value);
+        }
+    }
+    for (const auto& [id, session] : waiting) {
+        look(board, id, session, now);
+    }
+}
+
+void session_controller::read(job_board& board, const report_received& received, time_point now)
+{
+    const worker_session* known = board.sessions.find(received.at);
+    if (known == nullptr) {
+        return;
+    }
+    worker_session session = *known;
+    const worker_report& report = received.report;
+    if (received.waited) {
+        session.report_pending = false;
+    }
+    if (session.born != 0 && report.born != 0 && report.born != session.born) {
+        if (report.born < session.born) {
+            return;
+        }
+        board.raised.post(worker_emptied{received.at});
+        board.outbox.post(log_decision{"worker_reborn",
+                                       received.at.text(),
+                                       {{"born", std::to_string(report.born)}}});
+        session = {.cell = session.cell, .token = session.token};
+    }
+    session.born = report.born != 0 ? report.born : session.born;
+    session.clock = report.clock;
+    session.clock_read_at = now;
+    for (const ended_run& it : report.ended) {
+        if (it.number > session.last_end) {
+            board.raised.post(run_over{received.at, it.name, it.how});
+        }
+    }
+    for (const ended_run& it : report.ended) {
+        session.last_end = std::max(session.last_end, it.number);
+    }
+    std::vector<run_name> strays;
+    for (const running_run& it : report.running) {
+        if (!board.runs_by_worker.contains({received.at, it.name})) {
+            strays.push_back(it.name);
+        }
+    }
+    if (session.phase != session_phase::awaiting_release) {
+        const bool taken_over = session.phase == session_phase::ready || strays.empty();
+        if (taken_over && session.phase != session_phase::ready) {
+            board.outbox.post(log_decision{
+                "worker_ready", received.at.text(), {{"was", to_string(session.phase)}}});
+        }
+        session.phase = taken_over ? session_phase::ready : session_phase::clearing;
+    }
+    stop_strays(board, received.at, session, strays, now);
+    session.strays = std::move(strays);
+    sessions_.put(received.at, std::move(session));
+}
+
+void session_controller::fail(job_board& board, const report_failed& failed, time_point now)
+{
+    const worker_session* known = board.sessions.find(failed.at);
+    if (known == nullptr) {
+        return;
+    }
+    worker_session session = *known;
+    if (failed.waited) {
+        session.report_pending = false;
+    }
+    if (failed.reason == call_failure::fenced) {
+        if (failed.token == session.token) {
+            board.raised.post(worker_lost{failed.at});
+            close(board, failed.at);
+        }
+        return;
+    }
+    const bool gone = failed.reason == call_failure::refused;
+    if (gone) {
+        board.raised.post(worker_emptied{failed.at});
+    }
+    if (session.phase == session_phase::ready) {
+        board.outbox.post(log_decision{
+            "worker_unreachable", failed.at.text(), {{"reason", to_string(failed.reason)}}});
+    }
+    session.reported_end = 0;
+    if (session.phase != session_phase::awaiting_release) {
+        session.phase = session_phase::unreachable;
+        session.report_sent_at = now;
+    }
+    sessions_.put(failed.at, std::move(session));
+}
+
+void session_controller::suspend(job_board& board, time_point now)
+{
+    std::vector<std::pair<worker_id, worker_session>> all;
+    for (const auto& it : board.sessions) {
+        all.emplace_back(it.key, it.value);
+    }
+    for (auto& [id, session] : all) {
+        session.report_pending = false;
+        look(board, id, session, now);
+    }
+}
+
+void session_controller::look(job_board& board, const worker_id& id, worker_session session,
+                              time_point now)
+{
+    board.outbox.post(fetch_report{.to = address_of(board, id, session),
+                                   .last_end = session.last_end,
+                                   .give_up_at = now + answer_time});
+    if (session.phase != session_phase::ready) {
+        session.phase = session.phase == session_phase::unreachable ? session_phase::unreachable
+                                                                    : session_phase::looking;
+    }
+    session.report_sent_at = now;
+    sessions_.put(id, std::move(session));
+}
+
+void session_controller::keep(job_board& board, const worker_id& id, const worker_session& session,
+                              time_point now)
+{
+    const worker* entry = board.workers.find(id);
+    if (session.phase == session_phase::awaiting_release) {
+        if (now >= session.lapsed_at) {
+            look(board, id, session, now);
+        }
+        return;
+    }
+    const worker_load* load = board.loads.find(id);
+    const bool busy = load != nullptr && load->runs > 0;
+    if (entry == nullptr || session.phase == session_phase::unreachable) {
+        if (busy && now >= session.lapsed_at) {
+            board.raised.post(worker_emptied{id});
+        }
+        if (entry == nullptr && !busy) {
+            close(board, id);
+            return;
+        }
+    }
+    if (entry == nullptr) {
+        return;
+    }
+    if (session.phase != session_phase::ready) {
+        if (now >= session.report_sent_at + answer_time + retry_delay) {
+            look(board, id, session, now);
+        }
+        return;
+    }
+    const bool owes = session.last_end > session.reported_end;
+    const bool stale = now >= session.clock_read_at + idle_refresh;
+    if (session.report_pending || (!busy && !owes && !stale)) {
+        return;
+    }
+    worker_session next = session;
+    fetch_report call{
+        .to = address_of(board, id, session), .last_end = session.last_end, .waits = true};
+    if (busy) {
+        const lease_request lease = request_lease(session, board.parameters.longest_lease, now);
+        call.lease_until = lease.until;
+        call.wait = report_wait;
+        next.lapsed_at = std::max(next.lapsed_at, lease.lapsed_at);
+    }
+    call.give_up_at = now + call.wait + answer_time;
+    next.report_pending = true;
+    next.report_sent_at = now;
+    next.reported_end = session.last_end;
+    board.outbox.post(call);
+    sessions_.put(id, std::move(next));
+}
+
+bool session_controller::release(job_board& board, const worker_id& id,
+                                 const worker_session& session)
+{
+    const held_cell* held = board.cells.find(session.cell);
+    if (held == nullptr || held->phase != cell_phase::releasing) {
+        return false;
+    }
+    const worker_load* load = board.loads.find(id);
+    if (load != nullptr && load->runs > 0) {
+        return false;
+    }
+    board.outbox.post(release_worker{held->heir, id});
+    close(board, id);
+    return true;
+}
+
+void session_controller::stop_strays(job_board& board, const worker_id& id,
+                                     const worker_session& session,
+                                     const std::vector<run_name>& strays, time_point now)
+{
+    for (const run_name& it : strays) {
+        board.outbox.post(stop_run{
+            .to = address_of(board, id, session), .run = it, .give_up_at = now + answer_time});
+        board.outbox.post(log_decision{"stray_run_stopped",
+                                       it.job.text(),
+                                       {{"worker", id.text()},
+                                        {"run", std::to_string(it.number)},
+                                        {"phase", to_string(session.phase)}}});
+    }
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -0,0 +1,47 @@
+#include "papayafall/core/jobs/engine/job_engine.hpp"
+
+#include "papayafall/core/jobs/controllers/cell_controller.hpp"
+#include "papayafall/core/jobs/controllers/directory_controller.hpp"
+#include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
+#include "papayafall/core/jobs/controllers/health_controller.hpp"
+#include "papayafall/core/jobs/controllers/intake_controller.hpp"
+#include "papayafall/core/jobs/controllers/lifecycle_controller.hpp"
+#include "papayafall/core/jobs/controllers/peer_controller.hpp"
+#include "papayafall/core/jobs/controllers/session_controller.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace papayafall::jobs {
+
+job_policies standard_job_policies()
+{
+    return {
+        .placement = std::make_shared<best_fit>(),
+        .admission = std::make_shared<admit_within_objective>(),
+        .selection = std::make_shared<shortest_wait>(),
+        .ejection = std::make_shared<eject_after_failures>(),
+    };
+}
+
+std::unique_ptr<job_engine> make_job_engine(const dispatcher_identity& self,
+                                            const job_parameters& parameters,
+                                            const job_policies& policies)
+{
+    auto board = std::make_unique<job_board>(self, parameters);
+    std::vector<std::unique_ptr<job_controller>> controllers;
+    controllers.push_back(std::make_unique<directory_controller>(*board));
+    controllers.push_back(std::make_unique<job_lifecycle_controller>(*board));
+    controllers.push_back(std::make_unique<peer_controller>(*board));
+    controllers.push_back(std::make_unique<cell_controller>(*board));
+    controllers.push_back(std::make_unique<health_controller>(*board, policies.ejection));
+    controllers.push_back(
+        std::make_unique<intake_controller>(*board, policies.selection, policies.admission));
+    // Work is placed before leases are looked after, so that a report covers what was just started.
+    controllers.push_back(
+        std::make_unique<dispatch_controller>(*board, policies.placement, policies.admission));
+    controllers.push_back(std::make_unique<session_controller>(*board));
+    return std::make_unique<job_engine>(std::move(board), std::move(controllers));
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/policies/dispatcher_selection.cpp
@@ -0,0 +1,61 @@
+#include "papayafall/core/jobs/policies/dispatcher_selection.hpp"
+
+#include <algorithm>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Need of a job of usual size, for jobs that a report does not cover yet.
+constexpr std::int64_t usual_job_cpu_millis = 95'000;
+/// Time until a full dispatcher has room for a job of usual size.
+constexpr duration full_wait = std::chrono::milliseconds(40);
+
+/// Wait that a further job is expected to have.
+duration expected_wait(const dispatcher_candidate& it)
+{
+    const std::int64_t total = std::max<std::int64_t>(it.load.total_cpu_millis, 1);
+    const std::int64_t pending = usual_job_cpu_millis * (std::int64_t{it.sent_since} + 1);
+    const std::int64_t missing = std::max<std::int64_t>(0, pending - it.load.free_cpu_millis);
+    return it.load.wait + full_wait * missing / std::min(total, usual_job_cpu_millis * 4);
+}
+
+} // namespace
+
+std::optional<std::size_t>
+own_zone_first::choose(const std::vector<dispatcher_candidate>& candidates) const
+{
+    std::optional<std::size_t> found;
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        if (!candidates[n].load.accepting) {
+            continue;
+        }
+        if (!found || (candidates[n].same_zone && !candidates[*found].same_zone)) {
+            found = n;
+        }
+    }
+    return found;
+}
+
+shortest_wait::shortest_wait(duration zone_margin) : zone_margin_(zone_margin) {}
+
+std::optional<std::size_t>
+shortest_wait::choose(const std::vector<dispatcher_candidate>& candidates) const
+{
+    std::optional<std::size_t> found;
+    duration best{};
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        const dispatcher_candidate& it = candidates[n];
+        if (!it.load.accepting) {
+            continue;
+        }
+        const duration wait = expected_wait(it) + (it.same_zone ? duration{} : zone_margin_);
+        if (!found || wait < best) {
+            found = n;
+            best = wait;
+        }
+    }
+    return found;
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/core/src/jobs/policies/placement_policy.cpp
@@ -0,0 +1,46 @@
+#include "papayafall/core/jobs/policies/placement_policy.hpp"
+
+#include <cmath>
+#include <compare>
+#include <cstdint>
+#include <tuple>
+
+namespace papayafall::jobs {
+
+namespace {
+
+/// Workers whose slowness differs by less count as equally fast.
+constexpr double slowness_class = 0.5;
+
+std::int64_t class_of(double slowness)
+{
+    return std::llround(slowness / slowness_class);
+}
+
+} // namespace
+
+std::size_t first_fit::choose(const job_step& /*step*/,
+                              const std::vector<placement_candidate>& /*candidates*/) const
+{
+    return 0;
+}
+
+std::size_t best_fit::choose(const job_step& step,
+                             const std::vector<placement_candidate>& candidates) const
+{
+    const auto cost = [&](const placement_candidate& it) {
+        const bool away =
+            !step.preferred_rack.empty() && !it.entry->has_label(step.preferred_rack);
+        return std::make_tuple(it.avoided, away, class_of(it.slowness),
+                               (it.free - step.need).cpu_millis);
+    };
+    std::size_t best = 0;
+    for (std::size_t n = 1; n < candidates.size(); ++n) {
+        if (cost(candidates[n]) < cost(candidates[best])) {
+            best = n;
+        }
+    }
+    return best;
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/daemon/include/papayafall/daemon/kept/socket_options.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <QTcpSocket>
+
+namespace papayafall {
+
+/// Sends small messages at once, and lets a connection whose peer is silent end by itself.
+void tune_socket(QTcpSocket& socket);
+
+} // namespace papayafall
--- a/packages/daemon/include/papayafall/daemon/logging/log.hpp
+++ b/packages/daemon/include/papayafall/daemon/logging/log.hpp
@@ -5,6 +5,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace papayafall {
 
@@ -21,7 +22,9 @@
     }
 };
 
-/// Directs log records to the file or to standard error, one JSON object a line.
+/// Directs log records to the file, to standard output (`-`) or to standard error, one JSON object
+/// a line. Records for standard output are written by a thread of their own; when its buffer is full
+/// they are dropped and counted, so that no thread waits for a slow reader.
 /// @throws configuration_error when the file cannot be opened
 void open_log(const log_settings& wanted);
 
@@ -30,4 +33,7 @@
 void write_log(log_level level, std::string_view message,
                std::initializer_list<log_field> fields = {});
 
+/// As above, for fields that are put together at run time.
+void write_log(log_level level, std::string_view message, const std::vector<log_field>& fields);
+
 } // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -0,0 +1,318 @@
+#include "papayafall/daemon/jobs/job_links.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/kept/socket_options.hpp"
+#include "papayafall/daemon/logging/log.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <QTcpSocket>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace papayafall::jobs {
+
+/// Frames over one socket.
+class job_links::link {
+  public:
+    link(job_links& owner, QTcpSocket* socket) : owner_(owner), socket_(socket)
+    {
+        heard_at_ = steady_now();
+        QObject::connect(socket_, &QTcpSocket::readyRead, [this] { receive(); });
+        QObject::connect(
+            socket_, &QTcpSocket::errorOccurred, socket_, [this] { lose("connection_ended"); },
+            Qt::QueuedConnection);
+    }
+
+    link(const link&) = delete;
+    link& operator=(const link&) = delete;
+
+    virtual ~link()
+    {
+        socket_->disconnect();
+        socket_->abort();
+        socket_->deleteLater();
+    }
+
+    bool lost() const noexcept { return lost_; }
+
+    void write(const job_message& message)
+    {
+        if (lost_ || socket_->state() != QAbstractSocket::ConnectedState) {
+            return;
+        }
+        const time_point now = steady_now();
+        const std::string frame = encode_job_frame(message, now);
+        socket_->write(frame.data(), static_cast<qint64>(frame.size()));
+        socket_->flush();
+        written_at_ = now;
+    }
+
+    void on_tick(time_point now)
+    {
+        if (now >= heard_at_ + owner_.options_.silence_limit) {
+            lose("silent");
+        } else if (now >= written_at_ + owner_.options_.beat_period) {
+            write(link_beat{});
+        }
+    }
+
+    void lose(const char* reason)
+    {
+        if (lost_) {
+            return;
+        }
+        lost_ = true;
+        socket_->disconnect();
+        socket_->abort();
+        on_lost(reason);
+    }
+
+  protected:
+    virtual void on_message(const job_message& message) = 0;
+    virtual void on_lost(const char* reason) = 0;
+
+    job_links& owner_;
+    QTcpSocket* socket_;
+
+  private:
+    void receive()
+    {
+        const QByteArray received = socket_->readAll();
+        received_.append(received.data(), static_cast<std::size_t>(received.size()));
+        const time_point now = steady_now();
+        heard_at_ = now;
+        std::size_t taken = 0;
+        try {
+            while (!lost_) {
+                const std::string_view rest = std::string_view(received_).substr(taken);
+                const auto size = job_frame_size(rest);
+                if (!size || rest.size() < *size) {
+                    break;
+                }
+                on_message(decode_job_frame(rest.substr(0, *size), now));
+                taken += *size;
+            }
+            received_.erase(0, taken);
+        } catch (const message_error& ec) {
+            write_log(log_level::warning, "peer message refused", {{"error", ec.what()}});
+            lose("malformed");
+        }
+    }
+
+    std::string received_;
+    time_point heard_at_{};
+    time_point written_at_{};
+    bool lost_ = false;
+};
+
+/// A link that this host opened and delegates over.
+class job_links::outgoing : public job_links::link {
+  public:
+    outgoing(job_links& owner, const host_entry& entry)
+        : link(owner, new QTcpSocket()), entry_(entry)
+    {
+        socket_->setProxy(QNetworkProxy::NoProxy);
+        QObject::connect(socket_, &QTcpSocket::connected, [this] {
+            tune_socket(*socket_);
+            write(link_hello{owner_.options_.host, owner_.options_.incarnation});
+        });
+        socket_->connectToHost(QHostAddress(QString::fromStdString(entry.link.address)),
+                               entry.link.port);
+    }
+
+    const host_entry& entry() const noexcept { return entry_; }
+
+    bool greeted() const noexcept { return greeted_; }
+
+    time_point retry_at() const noexcept { return retry_at_; }
+
+  private:
+    void on_message(const job_message& message) override
+    {
+        if (const auto* it = std::get_if<link_hello>(&message)) {
+            greeted_ = true;
+            owner_.events_.post(peer_connected{it->host, it->incarnation});
+        }
+        if (const auto* it = std::get_if<link_load>(&message)) {
+            owner_.events_.post(load_reported{entry_.host, it->load});
+        }
+        if (const auto* it = std::get_if<link_outcome>(&message)) {
+            owner_.events_.post(delegation_answered{it->delegation, it->outcome});
+        }
+    }
+
+    void on_lost(const char* reason) override
+    {
+        retry_at_ = steady_now() + owner_.options_.reconnect_delay;
+        if (greeted_) {
+            write_log(log_level::info, "link lost",
+                      {{"host", entry_.host.text()}, {"reason", reason}});
+            owner_.events_.post(peer_lost{entry_.host});
+        }
+    }
+
+    host_entry entry_;
+    bool greeted_ = false;
+    time_point retry_at_{};
+};
+
+/// A link that another host opened.
+class job_links::incoming : public job_links::link {
+  public:
+    incoming(job_links& owner, link_number number, QTcpSocket* socket)
+        : link(owner, socket), number_(number)
+    {
+        tune_socket(*socket);
+    }
+
+  private:
+    void on_message(const job_message& message) override
+    {
+        if (std::holds_alternative<link_hello>(message)) {
+            write(link_hello{owner_.options_.host, owner_.options_.incarnation});
+        }
+        if (const auto* it = std::get_if<link_delegation>(&message)) {
+            owner_.events_.post(delegation_received{{number_, it->delegation}, it->order});
+        }
+        if (const auto* it = std::get_if<link_withdrawal>(&message)) {
+            owner_.events_.post(delegation_withdrawn{{number_, it->delegation}});
+        }
+        if (const auto* it = std::get_if<link_release>(&message)) {
+            owner_.events_.post(worker_released{it->worker});
+        }
+    }
+
+    void on_lost(const char* reason) override
+    {
+        write_log(log_level::info, "delegating link lost",
+                  {{"link", number_.value()}, {"reason", reason}});
+        owner_.events_.post(delegator_lost{number_});
+    }
+
+    link_number number_;
+};
+
+job_links::job_links(const job_link_options& options, message_sink<job_event>& events)
+    : options_(options), events_(events)
+{
+    const QHostAddress address(QString::fromStdString(options.listen.address));
+    if (!server_.listen(address, options.listen.port)) {
+        throw configuration_error(error_id::invalid_settings, "/peers/listen",
+                                  "cannot listen on " + options.listen.address + ":" +
+                                      std::to_string(options.listen.port));
+    }
+    QObject::connect(&server_, &QTcpServer::newConnection, [this] { accept(); });
+}
+
+job_links::~job_links() = default;
+
+std::uint16_t job_links::port() const
+{
+    return server_.serverPort();
+}
+
+void job_links::connect(const host_entry& entry)
+{
+    auto& found = outgoing_[entry.host];
+    if (found != nullptr && !found->lost() && found->entry().incarnation == entry.incarnation) {
+        return;
+    }
+    if (found != nullptr) {
+        found->lose("replaced");
+    }
+    found = std::make_unique<outgoing>(*this, entry);
+}
+
+void job_links::disconnect(const host_name& host)
+{
+    const auto it = outgoing_.find(host);
+    if (it == outgoing_.end()) {
+        return;
+    }
+    it->second->lose("host_gone");
+    outgoing_.erase(it);
+}
+
+void job_links::delegate(const delegate_job& action)
+{
+    const auto it = outgoing_.find(action.to);
+    if (it != outgoing_.end() && it->second->greeted() && !it->second->lost()) {
+        it->second->write(link_delegation{action.delegation, action.order});
+        return;
+    }
+    events_.post(delegation_answered{action.delegation, job_outcome::refused});
+}
+
+void job_links::withdraw(const withdraw_delegation& action)
+{
+    const auto it = outgoing_.find(action.to);
+    if (it != outgoing_.end()) {
+        it->second->write(link_withdrawal{action.delegation});
+    }
+}
+
+void job_links::answer(const answer_delegation& action)
+{
+    const auto it = incoming_.find(action.origin.link);
+    if (it != incoming_.end()) {
+        it->second->write(link_outcome{action.origin.delegation, action.outcome});
+    }
+}
+
+void job_links::publish(const load_report& load)
+{
+    for (const auto& [number, it] : incoming_) {
+        it->write(link_load{load});
+    }
+}
+
+void job_links::release(const release_worker& action)
+{
+    const auto it = outgoing_.find(action.to);
+    if (it != outgoing_.end()) {
+        it->second->write(link_release{action.id});
+    }
+}
+
+void job_links::drop_all()
+{
+    for (const auto& [host, it] : outgoing_) {
+        it->lose("process_resumed");
+    }
+    for (const auto& [number, it] : incoming_) {
+        it->lose("process_resumed");
+    }
+}
+
+void job_links::on_tick(time_point now)
+{
+    std::vector<host_entry> again;
+    for (const auto& [host, it] : outgoing_) {
+        it->on_tick(now);
+        if (it->lost() && now >= it->retry_at()) {
+            again.push_back(it->entry());
+        }
+    }
+    for (const host_entry& it : again) {
+        outgoing_[it.host] = std::make_unique<outgoing>(*this, it);
+    }
+    for (const auto& [number, it] : incoming_) {
+        it->on_tick(now);
+    }
+    std::erase_if(incoming_, [](const auto& it) { return it.second->lost(); });
+}
+
+void job_links::accept()
+{
+    while (QTcpSocket* const socket = server_.nextPendingConnection()) {
+        socket->setParent(nullptr);
+        last_link_ = last_link_.next();
+        incoming_.emplace(last_link_, std::make_unique<incoming>(*this, last_link_, socket));
+    }
+}
+
+} // namespace papayafall::jobs
--- /dev/null
+++ b/packages/daemon/src/kept/http_reader.cpp
@@ -0,0 +1,91 @@
+#include "papayafall/daemon/kept/http_reader.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <type_traits>
+
+namespace papayafall {
+
+namespace {
+
+namespace beast = boost::beast;
+
+template <typename Message>
+inline constexpr bool is_request = std::is_same_v<Message, http_request_message>;
+
+template <typename Parsed>
+header_fields headers_of(const Parsed& parsed)
+{
+    header_fields headers;
+    for (const auto& it : parsed) {
+        headers.emplace_back(std::string(it.name_string()), std::string(it.value()));
+    }
+    return headers;
+}
+
+} // namespace
+
+template <typename Message>
+struct http_reader<Message>::parser {
+    explicit parser(const http_limits& limits)
+    {
+        it.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        it.body_limit(limits.body_bytes);
+        it.eager(true);
+    }
+
+    beast::http::parser<is_request<Message>, beast::http::string_body> it;
+};
+
+template <typename Message>
+http_reader<Message>::http_reader(const http_limits& limits)
+    : limits_(limits), parser_(std::make_unique<parser>(limits))
+{
+}
+
+template <typename Message>
+http_reader<Message>::~http_reader() = default;
+
+template <typename Message>
+std::optional<Message> http_reader<Message>::next()
+{
+    auto& it = parser_->it;
+    while (!pending_.empty() && !it.is_done()) {
+        beast::error_code ec;
+        const std::size_t n =
+            it.put(boost::asio::const_buffer(pending_.data(), pending_.size()), ec);
+        pending_.erase(0, n);
+        started_ = started_ || n > 0;
+        if (ec == beast::http::error::need_more) {
+            break;
+        }
+        if (ec) {
+            throw message_error(error_id::malformed_message, ec.message());
+        }
+    }
+    if (!it.is_done()) {
+        return std::nullopt;
+    }
+    Message message;
+    auto& parsed = it.get();
+    if constexpr (is_request<Message>) {
+        message.method = std::string(parsed.method_string());
+        message.target = std::string(parsed.target());
+    } else {
+        message.status = static_cast<std::uint16_t>(parsed.result_int());
+    }
+    message.headers = headers_of(parsed);
+    message.keep_alive = parsed.keep_alive();
+    message.body = std::move(parsed.body());
+    parser_ = std::make_unique<parser>(limits_);
+    started_ = false;
+    return message;
+}
+
+template class http_reader<http_request_message>;
+template class http_reader<http_reply_message>;
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -0,0 +1,177 @@
+#include "papayafall/daemon/kept/request_server.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/kept/socket_options.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace papayafall {
+
+namespace {
+
+/// Connections that wait to be accepted.
+constexpr int listen_backlog = 512;
+constexpr std::uint16_t bad_request = 400;
+
+} // namespace
+
+/// One caller's connection.
+class request_server::connection {
+  public:
+    connection(request_server& owner, std::uint64_t number, QTcpSocket* socket)
+        : owner_(owner), number_(number), socket_(socket), reader_(owner.options_.limits)
+    {
+        tune_socket(*socket_);
+        QObject::connect(socket_, &QTcpSocket::readyRead, [this] { receive(); });
+        QObject::connect(
+            socket_, &QTcpSocket::disconnected, socket_, [this] { owner_.remove(number_); },
+            Qt::QueuedConnection);
+    }
+
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+
+    ~connection()
+    {
+        socket_->disconnect();
+        socket_->abort();
+        socket_->deleteLater();
+    }
+
+    const std::optional<call_id>& call() const noexcept { return call_; }
+
+    void answer(http_reply_message reply)
+    {
+        reply.keep_alive = keep_alive_ && !owner_.closing_;
+        const std::string buf = encode_reply(reply);
+        call_.reset();
+        socket_->write(buf.data(), static_cast<qint64>(buf.size()));
+        socket_->flush();
+        if (!reply.keep_alive) {
+            socket_->disconnectFromHost();
+            return;
+        }
+        take_request();
+    }
+
+    bool overdue(time_point now) const noexcept { return now >= complete_by_; }
+
+  private:
+    void receive()
+    {
+        const QByteArray received = socket_->readAll();
+        reader_.feed({received.data(), static_cast<std::size_t>(received.size())});
+        if (!call_) {
+            take_request();
+        }
+    }
+
+    void take_request()
+    {
+        try {
+            auto request = reader_.next();
+            if (!request) {
+                complete_by_ =
+                    reader_.started() ? steady_now() + owner_.options_.transfer_time : no_deadline;
+                return;
+            }
+            complete_by_ = no_deadline;
+            keep_alive_ = request->keep_alive;
+            owner_.last_call_ = owner_.last_call_.next();
+            call_ = owner_.last_call_;
+            owner_.calls_.emplace(*call_, number_);
+            owner_.handler_.on_request(*call_, *request);
+        } catch (const message_error&) {
+            keep_alive_ = false;
+            answer({.status = bad_request});
+        }
+    }
+
+    request_server& owner_;
+    std::uint64_t number_;
+    QTcpSocket* socket_;
+    http_reader<http_request_message> reader_;
+    std::optional<call_id> call_;
+    time_point complete_by_ = no_deadline;
+    bool keep_alive_ = true;
+};
+
+request_server::request_server(const request_server_options& options, request_handler& handler)
+    : options_(options), handler_(handler)
+{
+    server_.setListenBacklogSize(listen_backlog);
+    const QHostAddress address(QString::fromStdString(options.listen.address));
+    if (!server_.listen(address, options.listen.port)) {
+        throw configuration_error(error_id::invalid_settings, "/listen",
+                                  "cannot listen on " + options.listen.address + ":" +
+                                      std::to_string(options.listen.port));
+    }
+    QObject::connect(&server_, &QTcpServer::newConnection, [this] { accept(); });
+}
+
+request_server::~request_server() = default;
+
+std::uint16_t request_server::port() const
+{
+    return server_.serverPort();
+}
+
+void request_server::answer(call_id call, http_reply_message reply)
+{
+    const auto it = calls_.find(call);
+    if (it == calls_.end()) {
+        return;
+    }
+    const std::uint64_t number = it->second;
+    calls_.erase(it);
+    connections_.at(number)->answer(std::move(reply));
+}
+
+void request_server::on_tick(time_point now)
+{
+    std::vector<std::uint64_t> overdue;
+    for (const auto& [number, it] : connections_) {
+        if (it->overdue(now)) {
+            overdue.push_back(number);
+        }
+    }
+    for (const std::uint64_t it : overdue) {
+        remove(it);
+    }
+}
+
+void request_server::accept()
+{
+    while (QTcpSocket* const socket = server_.nextPendingConnection()) {
+        socket->setParent(nullptr);
+        if (connections_.size() >= options_.max_connections) {
+            socket->abort();
+            socket->deleteLater();
+            continue;
+        }
+        const std::uint64_t number = ++last_connection_;
+        connections_.emplace(number, std::make_unique<connection>(*this, number, socket));
+    }
+}
+
+void request_server::remove(std::uint64_t number)
+{
+    const auto it = connections_.find(number);
+    if (it == connections_.end()) {
+        return;
+    }
+    const std::optional<call_id> call = it->second->call();
+    connections_.erase(it);
+    if (call) {
+        calls_.erase(*call);
+        handler_.on_abandoned(*call);
+    }
+}
+
+} // namespace papayafall
--- a/packages/daemon/src/logging/log.cpp
+++ b/packages/daemon/src/logging/log.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/daemon/logging/log.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -15,6 +16,11 @@
 
 namespace {
 
+/// Name of standard output in the settings.
+constexpr const char* standard_output = "-";
+/// Records that wait to be written to standard output.
+constexpr int buffered_records = 2048;
+
 log4cxx::LoggerPtr logger()
 {
     static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("papayafall");
@@ -39,6 +45,14 @@
 log4cxx::AppenderPtr appender_for(const log_settings& wanted)
 {
     const log4cxx::LayoutPtr layout = std::make_shared<log4cxx::JSONLayout>();
+    if (wanted.file == standard_output) {
+        const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+        buffered->setBlocking(false);
+        buffered->setBufferSize(buffered_records);
+        buffered->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+            layout, log4cxx::ConsoleAppender::getSystemOut()));
+        return buffered;
+    }
     if (wanted.file.empty()) {
         return std::make_shared<log4cxx::ConsoleAppender>(layout,
                                                           log4cxx::ConsoleAppender::getSystemErr());
@@ -56,7 +70,10 @@
     root->setLevel(level_of(wanted.level));
 }
 
-void write_log(log_level level, std::string_view message, std::initializer_list<log_field> fields)
+namespace {
+
+template <typename Fields>
+void write_fields(log_level level, std::string_view message, const Fields& fields)
 {
     const log4cxx::LoggerPtr target = logger();
     const log4cxx::LevelPtr wanted = level_of(level);
@@ -70,4 +87,16 @@
     target->forcedLog(wanted, std::string(message));
 }
 
+} // namespace
+
+void write_log(log_level level, std::string_view message, std::initializer_list<log_field> fields)
+{
+    write_fields(level, message, fields);
+}
+
+void write_log(log_level level, std::string_view message, const std::vector<log_field>& fields)
+{
+    write_fields(level, message, fields);
+}
+
 } // namespace papayafall
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,3 +1,5 @@
+#include "dispatcher_process.hpp"
+
 #include "papayafall/core/errors/exception.hpp"
 #include "papayafall/daemon/logging/log.hpp"
 #include "papayafall/daemon/process/dispatcher_process.hpp"
@@ -39,6 +41,23 @@
     return code;
 }
 
+int dispatch_jobs(const std::string& path, int argc, char** argv)
+{
+    const adapter::dispatcher_settings wanted = adapter::load_dispatcher_settings(path);
+    QCoreApplication application(argc, argv);
+    open_log(wanted->log);
+    adapter::job_dispatcher_process process(wanted, path, [](int code) {
+        QMetaObject::invokeMethod(
+            qApp, [code] { QCoreApplication::exit(code); }, Qt::QueuedConnection);
+    });
+    const signal_watcher signals({
+        .stop = [&process] { process.request_shutdown(); },
+        .reload = [&process] { process.reload(); },
+    });
+    process.start();
+    return QCoreApplication::exec();
+}
+
 } // namespace
 
 /// The dispatcher daemon; `papayafalld --help` describes its options.
@@ -47,11 +66,24 @@
     CLI::App app("papayafalld: dispatcher for sub-second tasks");
     std::string path;
     bool check_only = false;
-    app.add_option("--settings", path, "JSON file with the settings of this host")->required();
+    bool job_dispatcher = false;
+    app.add_option("--settings", path, "JSON file with the settings of this host")
+        ->envname("PAPAYAFALL_SETTINGS")
+        ->required();
+    app.add_flag("--job-dispatcher", job_dispatcher,
+                 "dispatch jobs to the workers of the platform's store");
     app.add_flag("--check", check_only, "check the settings and exit");
     app.set_version_flag("--version", "papayafalld 0.1.0");
     CLI11_PARSE(app, argc, argv);
     try {
+        if (job_dispatcher) {
+            if (check_only) {
+                std::cout << "settings of host "
+                          << adapter::load_dispatcher_settings(path)->host.text() << " are valid\n";
+                return exit_success;
+            }
+            return dispatch_jobs(path, argc, argv);
+        }
         const settings wanted = load_settings(path);
         if (check_only) {
             std::cout << "settings of host " << wanted->host.text() << " are valid\n";
--- a/packages/wire/include/papayafall/wire/settings/settings.hpp
+++ b/packages/wire/include/papayafall/wire/settings/settings.hpp
@@ -76,7 +76,7 @@
 
 struct log_settings {
     log_level level = log_level::info;
-    /// File to append to; empty for standard error.
+    /// File to append to; empty for standard error, `-` for standard output.
     std::string file;
 
     auto operator<=>(const log_settings&) const = default;
--- /dev/null
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -0,0 +1,169 @@
+#include "papayafall/wire/jobs/job_message.hpp"
+
+#include "../peer/fields.hpp"
+
+#include <cstring>
+
+namespace papayafall::detail {
+
+using namespace papayafall::jobs;
+
+template <typename Archive>
+void serialize(Archive& archive, resources& it)
+{
+    auto& [cpu_millis, memory_mb, accelerators] = it;
+    archive(cpu_millis, memory_mb, accelerators);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_step& it)
+{
+    auto& [count, need, estimate, after, required_label, preferred_rack, max_per_worker,
+           speculative, gang] = it;
+    archive(count, need, estimate, bounded(after), required_label, preferred_rack, max_per_worker,
+            speculative, gang);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_kind& it)
+{
+    auto& [best_effort, long_running, repetitions] = it;
+    archive(best_effort, long_running, repetitions);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_spec_fields& it)
+{
+    auto& [id, payload, steps, kind] = it;
+    archive(id, payload, bounded(steps), kind);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_order_fields& it)
+{
+    auto& [job, queue, service, configuration_version, max_attempts, priority, received_at,
+           objective_at, useful_until, answer_by] = it;
+    archive(job, queue, service, configuration_version, max_attempts, priority, received_at,
+            objective_at, useful_until, answer_by);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, load_report& it)
+{
+    auto& [accepting, free_cpu_millis, total_cpu_millis, wait] = it;
+    archive(accepting, free_cpu_millis, total_cpu_millis, wait);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_hello& it)
+{
+    archive(it.host, it.incarnation);
+}
+
+template <typename Archive>
+void serialize(Archive& /*archive*/, link_beat& /*it*/)
+{
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_load& it)
+{
+    archive(it.load);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_delegation& it)
+{
+    archive(it.delegation, it.order);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_withdrawal& it)
+{
+    archive(it.delegation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_outcome& it)
+{
+    archive(it.delegation, bounded_enum<job_outcome>{it.outcome, job_outcome::cancelled});
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_release& it)
+{
+    archive(it.worker);
+}
+
+} // namespace papayafall::detail
+
+namespace papayafall::jobs {
+
+namespace {
+
+constexpr std::uint8_t link_protocol_version = 1;
+constexpr std::size_t size_field = sizeof(std::uint32_t);
+
+template <std::size_t Index = 0>
+job_message load_alternative(detail::message_input& in, std::uint8_t index)
+{
+    if constexpr (Index < std::variant_size_v<job_message>) {
+        if (index != Index) {
+            return load_alternative<Index + 1>(in, index);
+        }
+        std::variant_alternative_t<Index, job_message> content;
+        in(content);
+        return content;
+    } else {
+        throw message_error(error_id::malformed_message, "a message has an unknown kind");
+    }
+}
+
+} // namespace
+
+std::string encode_job_frame(const job_message& message, time_point now)
+{
+    detail::message_output out(now);
+    out(std::uint32_t{0}, link_protocol_version, static_cast<std::uint8_t>(message.index()));
+    std::visit([&out](const auto& it) { out(it); }, message);
+    std::string frame = out.take();
+    if (frame.size() > max_job_frame_size) {
+        throw message_error(error_id::message_too_large, "a message does not fit a frame");
+    }
+    const auto size = static_cast<std::uint32_t>(frame.size());
+    std::memcpy(frame.data(), &size, size_field);
+    return frame;
+}
+
+std::optional<std::size_t> job_frame_size(std::string_view received)
+{
+    if (received.size() < size_field) {
+        return std::nullopt;
+    }
+    std::uint32_t size = 0;
+    std::memcpy(&size, received.data(), size_field);
+    if (size < size_field + 2 || size > max_job_frame_size) {
+        throw message_error(error_id::message_too_large, "a frame has an impossible size");
+    }
+    return size;
+}
+
+job_message decode_job_frame(std::string_view frame, time_point now)
+{
+    try {
+        detail::message_input in(frame.substr(size_field), now);
+        std::uint8_t version = 0;
+        std::uint8_t index = 0;
+        in(version, index);
+        if (version != link_protocol_version) {
+            throw message_error(error_id::unsupported_version, "a frame has another version");
+        }
+        job_message message = load_alternative(in, index);
+        in.expect_end();
+        return message;
+    } catch (const cereal::Exception& ec) {
+        throw message_error(error_id::malformed_message, ec.what());
+    }
+}
+
+} // namespace papayafall::jobs
