--- a/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
@@ -29,6 +29,7 @@
     void ask_job(job_board& board, const job_asked& asked, time_point now);
     void abandon(job_board& board, call_id call);
     void lose_peer(job_board& board, const host_name& host, time_point now);
+    void interrupt_all(job_board& board, time_point now);
     void take_answer(job_board& board, const delegation_answered& answered, time_point now);
     void place(job_board& board, call_id call, const accepted_call& accepted, time_point now);
     void withdraw(job_board& board, const accepted_call& accepted);
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -191,6 +191,9 @@
 
 // Raised by controllers for one another.
 
+/// The time of a graceful stop is up: whatever is open is answered now.
+struct stop_due {};
+
 struct cell_acquired {
     cell_id cell;
 };
@@ -248,7 +251,7 @@
                  job_submitted, queue_asked, job_asked, call_abandoned, peer_connected, peer_lost,
                  load_reported, delegation_answered, delegation_received, delegation_withdrawn,
                  delegator_lost, worker_released, start_answered, stop_answered, report_received,
-                 report_failed, stop_requested, process_resumed, cell_acquired, cell_lost, run_over,
+                 report_failed, stop_requested, process_resumed, stop_due, cell_acquired, cell_lost, run_over,
                  run_stalled, run_timed, worker_emptied, worker_lost, job_over, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -60,7 +60,8 @@
     }
     if (const auto* it = std::get_if<worker_emptied>(&incoming)) {
         empty_worker(board, it->at, now.steady);
-    } else if (std::holds_alternative<process_resumed>(incoming)) {
+    } else if (std::holds_alternative<process_resumed>(incoming) ||
+        std::holds_alternative<stop_due>(incoming)) {
         drop_everything(board, now.steady);
     }
 }
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -81,6 +81,9 @@
     if (const auto* it = std::get_if<peer_lost>(&incoming)) {
         lose_peer(board, it->host, now.steady);
     }
+    if (std::holds_alternative<stop_due>(incoming)) {
+        interrupt_all(board, now.steady);
+    }
 }
 
 void intake_controller::on_tick(job_board& board, const clock_reading& now)
@@ -241,6 +244,18 @@
     }
 }
 
+void intake_controller::interrupt_all(job_board& board, time_point now)
+{
+    std::vector<call_id> open;
+    for (const auto& it : board.calls) {
+        open.push_back(it.key);
+    }
+    for (const call_id it : open) {
+        withdraw(board, *board.calls.find(it));
+        finish(board, it, job_outcome::interrupted, now);
+    }
+}
+
 void intake_controller::take_answer(job_board& board, const delegation_answered& answered,
                                     time_point now)
 {
