--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -27,7 +27,7 @@
   private:
     // jobs
     void accept(job_board& board, const delegation_received& received, time_point now);
-    std::optional<job_outcome> refusal(const job_board& board, const job_order_fields& order,
+    std::optional<job_outcome> refusal(job_board& board, const job_order_fields& order,
                                        time_point now) const;
     void finish(job_board& board, job_number number, job_outcome outcome, time_point now);
     /// Lets go of a job whose runs are all over.
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -54,9 +54,16 @@
     auto operator<=>(const task_state&) const = default;
 };
 
+/// Waiting tasks of an earlier group go first.
+enum class waiting_group : std::uint8_t {
+    begun,  ///< of jobs of which something was started
+    urgent, ///< of queues with the first priority
+    other,
+};
+
 /// Order in which waiting tasks are offered to workers.
 struct waiting_rank {
-    std::uint8_t group = 0; ///< 0: of jobs that have begun
+    waiting_group group = waiting_group::begun;
     time_point start_by;
     task_ref task;
 
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -16,6 +17,14 @@
 /// Tasks without a fitting worker after which the step ends.
 constexpr std::size_t miss_limit = 16;
 
+waiting_group group_of(const job_order_fields& order, bool started)
+{
+    if (started) {
+        return waiting_group::begun;
+    }
+    return order.priority == 0 ? waiting_group::urgent : waiting_group::other;
+}
+
 } // namespace
 
 dispatch_controller::dispatch_controller(job_board& board,
@@ -117,7 +126,7 @@
     }
 }
 
-std::optional<job_outcome> dispatch_controller::refusal(const job_board& board,
+std::optional<job_outcome> dispatch_controller::refusal(job_board& board,
                                                         const job_order_fields& order,
                                                         time_point now) const
 {
@@ -141,10 +150,11 @@
     }
     const duration run_time = critical_path(*order.job);
     const time_point start_by = order.objective_at - run_time;
+    const waiting_group group = group_of(order, false);
     // Cores in thousandths and microseconds.
     std::int64_t ahead = 0;
     for (const auto& it : board.waiting) {
-        if (it.key.group > 0 && it.key.start_by > start_by) {
+        if (std::tie(it.key.group, it.key.start_by) > std::tie(group, start_by)) {
             break;
         }
         const job_state* job = board.jobs.find(it.value.job);
@@ -158,6 +168,18 @@
     const std::int64_t missing = std::max<std::int64_t>(0, need - std::max<std::int64_t>(free, 0));
     const duration wait((ahead + missing * run_time.count()) / total);
     if (!admission_->worth_waiting(order, {.wait = wait, .run_time = run_time}, now)) {
+        board.outbox.post(log_decision{
+            "job_refused",
+            order.job->id.text(),
+            {{"reason", "objective"},
+             {"wait_us", std::to_string(wait.count())},
+             {"run_us", std::to_string(run_time.count())},
+             {"left_us", std::to_string((order.objective_at - now).count())},
+             {"age_us", std::to_string((now - order.received_at).count())},
+             {"need", std::to_string(need)},
+             {"free", std::to_string(free)},
+             {"total", std::to_string(total)},
+             {"waiting", std::to_string(board.waiting.size())}}});
         return job_outcome::refused;
     }
     return std::nullopt;
@@ -285,7 +307,7 @@
     const job_state job = *board.jobs.find(task.job);
     const job_step& step = job->order->job->steps[task.step];
     const waiting_rank rank{
-        .group = static_cast<std::uint8_t>(job->started ? 0 : 1),
+        .group = group_of(*job->order, job->started),
         .start_by = job->order->objective_at -
                     expected_run_time(board, job->order->queue, step),
         .task = task,
