--- a/packages/core/include/papayafall/core/jobs/policies/admission.hpp
+++ b/packages/core/include/papayafall/core/jobs/policies/admission.hpp
@@ -36,7 +36,7 @@
   public:
     /// @param decide_share part of the objective after which the decision stands
     /// @param tolerance    part of the objective by which the forecast may miss it
-    explicit admit_within_objective(double decide_share = 0.22, double tolerance = 0.0);
+    explicit admit_within_objective(double decide_share = 0.18, double tolerance = -0.05);
 
     bool worth_waiting(const job_order_fields& order, const start_forecast& forecast,
                        time_point now) const override;
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -56,14 +56,15 @@
 
 /// Waiting tasks of an earlier group go first.
 enum class waiting_group : std::uint8_t {
-    begun,  ///< of jobs of which something was started
-    urgent, ///< of queues with the first priority
+    urgent_begun, ///< of queues with the first priority; something of the job was started
+    urgent,
+    other_begun,
     other,
 };
 
 /// Order in which waiting tasks are offered to workers.
 struct waiting_rank {
-    waiting_group group = waiting_group::begun;
+    waiting_group group = waiting_group::other;
     time_point start_by;
     task_ref task;
 
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -19,10 +19,10 @@
 
 waiting_group group_of(const job_order_fields& order, bool started)
 {
-    if (started) {
-        return waiting_group::begun;
+    if (order.priority == 0) {
+        return started ? waiting_group::urgent_begun : waiting_group::urgent;
     }
-    return order.priority == 0 ? waiting_group::urgent : waiting_group::other;
+    return started ? waiting_group::other_begun : waiting_group::other;
 }
 
 } // namespace
