Leave cells of a zone that is cut off to its own hosts; look at once after a lost report

Each answered stop of a former holder's run led to another look and another stop; both are paced now. A report that stays unanswered is followed by a look at once.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -31,9 +31,9 @@
 
 /// Limits that the platform sets for a deployment.
 struct job_parameters {
-    duration longest_lease = std::chrono::seconds(1);       ///< of a worker's runs
+    duration longest_lease = std::chrono::seconds(1); ///< of a worker's runs
     duration resubmission_delay = std::chrono::milliseconds(1300);
-    duration stop_time = std::chrono::milliseconds(50);     ///< that a stop may take
+    duration stop_time = std::chrono::milliseconds(50); ///< that a stop may take
     std::uint32_t cells_per_zone = 1;
 
     auto operator<=>(const job_parameters&) const = default;
--- a/packages/core/include/papayafall/core/jobs/controllers/cell_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/cell_controller.hpp
@@ -22,8 +22,7 @@
     void review(job_board& board, const cell_id& cell, const zone_name& zone, time_point now);
     void claim(job_board& board, const cell_id& cell, const claim_state* known, time_point now);
     void granted(job_board& board, const cell_id& cell, store_revision revision, time_point now);
-    void seen_claim(job_board& board, const cell_id& cell, const cell_claim& claim,
-                    time_point now);
+    void seen_claim(job_board& board, const cell_id& cell, const cell_claim& claim, time_point now);
     void fenced(job_board& board, const worker_id& at, fencing_token token);
     void drop(job_board& board, const cell_id& cell, const char* reason);
     void release_all(job_board& board, time_point now);
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/jobs/policies/admission.hpp"
 #include "papayafall/core/jobs/policies/placement_policy.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -30,11 +31,16 @@
     std::optional<job_outcome> refusal(job_board& board, const job_order_fields& order,
                                        time_point now) const;
     void finish(job_board& board, job_number number, job_outcome outcome, time_point now);
+    /// Changes a job of which something was started, or which is answered.
+    void change_job(job_board& board, job_number number, time_point now,
+                    const std::function<void(job_state_fields&)>& change);
     /// Lets go of a job whose runs are all over.
     void forget(job_board& board, job_number number);
     void withdraw(job_board& board, const job_origin& origin, time_point now);
     void lose_link(job_board& board, link_number link, time_point now);
     void drop_everything(job_board& board, time_point now);
+    /// Ends the jobs that wait while this host has no workers.
+    void give_back(job_board& board, time_point now);
     void decide_waiting(job_board& board, time_point now);
 
     // tasks
--- a/packages/core/include/papayafall/core/jobs/controllers/session_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/session_controller.hpp
@@ -30,8 +30,7 @@
     void suspend(job_board& board, time_point now);
     /// Asks for the runs of the worker without extending them.
     void look(job_board& board, const worker_id& id, worker_session session, time_point now);
-    void keep(job_board& board, const worker_id& id, const worker_session& session,
-              time_point now);
+    void keep(job_board& board, const worker_id& id, const worker_session& session, time_point now);
     bool release(job_board& board, const worker_id& id, const worker_session& session);
     void stop_strays(job_board& board, const worker_id& id, const worker_session& session,
                      const std::vector<run_name>& strays, time_point now);
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -27,7 +27,13 @@
     std::optional<std::uint64_t> waiting; ///< empty: no such queue
 };
 
-enum class job_status : std::uint8_t { unknown, running, cancelled, no_configuration, unknown_queue };
+enum class job_status : std::uint8_t {
+    unknown,
+    running,
+    cancelled,
+    no_configuration,
+    unknown_queue
+};
 
 struct answer_status {
     call_id call;
@@ -141,11 +147,10 @@
     std::vector<std::pair<const char*, std::string>> inputs;
 };
 
-using job_action =
-    std::variant<answer_job, answer_queue, answer_status, claim_cell, release_cell,
-                 update_host_entry, connect_peer, disconnect_peer, delegate_job,
-                 withdraw_delegation, answer_delegation, publish_load, release_worker, drop_links,
-                 start_run, stop_run, fetch_report, forget_worker, set_readiness, stop_dispatcher,
-                 log_decision>;
+using job_action = std::variant<answer_job, answer_queue, answer_status, claim_cell, release_cell,
+                                update_host_entry, connect_peer, disconnect_peer, delegate_job,
+                                withdraw_delegation, answer_delegation, publish_load,
+                                release_worker, drop_links, start_run, stop_run, fetch_report,
+                                forget_worker, set_readiness, stop_dispatcher, log_decision>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -128,9 +128,9 @@
 
 enum class start_result : std::uint8_t {
     accepted,
-    fenced,     ///< a higher token was seen
-    outdated,   ///< a run of that number or a higher one ended there
-    too_late,   ///< the lease had run out on arrival
+    fenced,   ///< a higher token was seen
+    outdated, ///< a run of that number or a higher one ended there
+    too_late, ///< the lease had run out on arrival
     no_room,
     not_ready,  ///< an unhealthy worker; nothing was done
     other_life, ///< another life of the worker answered
@@ -161,8 +161,8 @@
 };
 
 enum class call_failure : std::uint8_t {
-    refused,    ///< nothing listens at the address: the process is gone
-    broken,     ///< the connection ended
+    refused, ///< nothing listens at the address: the process is gone
+    broken,  ///< the connection ended
     timed_out,
     fenced,
     other_life,
@@ -251,7 +251,8 @@
                  job_submitted, queue_asked, job_asked, call_abandoned, peer_connected, peer_lost,
                  load_reported, delegation_answered, delegation_received, delegation_withdrawn,
                  delegator_lost, worker_released, start_answered, stop_answered, report_received,
-                 report_failed, stop_requested, process_resumed, stop_due, cell_acquired, cell_lost, run_over,
-                 run_stalled, run_timed, worker_emptied, worker_lost, job_over, job_delegated, lease_extended>;
+                 report_failed, stop_requested, process_resumed, stop_due, cell_acquired, cell_lost,
+                 run_over, run_stalled, run_timed, worker_emptied, worker_lost, job_over,
+                 job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/state/worker_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/worker_state.hpp
@@ -30,8 +30,9 @@
     std::uint64_t reported_end = 0; ///< highest number that the worker was told of
     bool report_pending = false;    ///< a waiting report call is in flight
     time_point report_sent_at{};
-    time_point lapsed_at{}; ///< instant by which every run there has lapsed unless extended
+    time_point lapsed_at{};       ///< instant by which every run there has lapsed unless extended
     std::vector<run_name> strays; ///< runs of others that are being stopped
+    time_point strays_stopped_at{};
 
     auto operator<=>(const worker_session&) const = default;
 };
@@ -48,8 +49,8 @@
 struct worker_health {
     std::uint32_t failures_in_a_row = 0;
     std::uint32_t stalls_in_a_row = 0;
-    time_point avoid_until{};   ///< gets no work before, unless nothing else is there
-    double slowness = 1;        ///< measured over estimated run time, against all workers
+    time_point avoid_until{}; ///< gets no work before, unless nothing else is there
+    double slowness = 1;      ///< measured over estimated run time, against all workers
     std::uint32_t samples = 0;
 
     auto operator<=>(const worker_health&) const = default;
--- a/packages/core/include/papayafall/core/jobs/values/job.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/job.hpp
@@ -18,7 +18,7 @@
     duration estimate{};     ///< rough run time of a task, as the caller declared it
     std::vector<std::uint32_t> after;
     label_name required_label;
-    label_name preferred_rack; ///< elsewhere the tasks run longer
+    label_name preferred_rack;        ///< elsewhere the tasks run longer
     std::uint32_t max_per_worker = 0; ///< 0: no limit
     bool speculative = false;         ///< copies of a task may run at the same time
     bool gang = false;                ///< all tasks run together or not at all
--- a/packages/core/include/papayafall/core/jobs/values/job_identifiers.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/job_identifiers.hpp
@@ -8,12 +8,12 @@
 
 namespace papayafall::jobs {
 
-using job_id = basic_name<struct job_id_tag>;       ///< chosen by the caller
-using queue_name = basic_name<struct queue_tag>;    ///< a queue of the configuration
-using worker_id = basic_name<struct worker_tag>;    ///< a worker as discovery names it
-using cell_id = basic_name<struct cell_tag>;        ///< a group of workers with one dispatcher
-using label_name = basic_name<struct label_tag>;    ///< a property of a worker: its kind or rack
-using job_number = basic_number<struct job_tag>;    ///< a job at the dispatcher that runs it
+using job_id = basic_name<struct job_id_tag>;    ///< chosen by the caller
+using queue_name = basic_name<struct queue_tag>; ///< a queue of the configuration
+using worker_id = basic_name<struct worker_tag>; ///< a worker as discovery names it
+using cell_id = basic_name<struct cell_tag>;     ///< a group of workers with one dispatcher
+using label_name = basic_name<struct label_tag>; ///< a property of a worker: its kind or rack
+using job_number = basic_number<struct job_tag>; ///< a job at the dispatcher that runs it
 using fencing_token = basic_number<struct fencing_tag>;
 /// Revision of the platform's store.
 using store_revision = basic_number<struct store_revision_tag>;
--- a/packages/core/include/papayafall/core/jobs/values/membership.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/membership.hpp
@@ -30,10 +30,10 @@
 
 /// What a dispatcher tells the hosts that may delegate to it.
 struct load_report {
-    bool accepting = false;       ///< it holds workers and takes jobs
+    bool accepting = false; ///< it holds workers and takes jobs
     std::int64_t free_cpu_millis = 0;
     std::int64_t total_cpu_millis = 0;
-    duration wait{};              ///< predicted time until a new task is started
+    duration wait{}; ///< predicted time until a new task is started
 
     auto operator<=>(const load_report&) const = default;
 };
--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -18,8 +18,9 @@
 constexpr duration review_period = milliseconds(100);
 /// Time that each host in the order of claimants gives those before it.
 constexpr duration claim_stagger = milliseconds(300);
-/// Time that hosts of other zones give those of the cell's own zone.
-constexpr duration foreign_delay = milliseconds(2500);
+/// Time that hosts of other zones give those of the cell's own zone. It is longer than the workers
+/// of a zone that is cut off stay listed, since those could not be reached either.
+constexpr duration foreign_delay = milliseconds(6000);
 /// Time that a host of the cell's zone lives before it asks a foreign holder for the cell.
 constexpr duration return_delay = milliseconds(1000);
 /// Time after which a claim without an answer is sent again.
@@ -41,8 +42,7 @@
         return claim.incarnation == board.self.incarnation;
     }
     const host_entry* entry = board.hosts.find(claim.holder);
-    return is_linked(board, claim) ||
-           (entry != nullptr && entry->incarnation == claim.incarnation);
+    return is_linked(board, claim) || (entry != nullptr && entry->incarnation == claim.incarnation);
 }
 
 bool is_leaving(const job_board& board, const host_name& host)
@@ -154,7 +154,8 @@
     const claim_state* known = board.claims.find(cell);
     const held_cell* held = board.cells.find(cell);
     if (held != nullptr) {
-        // The store dropped the claim with its lease; the right to the workers is still this host's.
+        // The store dropped the claim with its lease; the right to the workers is still this
+        // host's.
         if (held->phase == cell_phase::held && known != nullptr && !known->listed) {
             claim(board, cell, known, now);
         }
@@ -250,8 +251,7 @@
     next.heir = claim.holder;
     next.release_by = now + release_time;
     cells_.put(cell, next);
-    board.outbox.post(
-        log_decision{"cell_releasing", cell.text(), {{"heir", claim.holder.text()}}});
+    board.outbox.post(log_decision{"cell_releasing", cell.text(), {{"heir", claim.holder.text()}}});
 }
 
 void cell_controller::fenced(job_board& board, const worker_id& at, fencing_token token)
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -17,6 +17,9 @@
 /// Tasks without a fitting worker after which the step ends.
 constexpr std::size_t miss_limit = 16;
 
+/// Time between two looks at a job that is past its use.
+constexpr duration progress_review = std::chrono::milliseconds(500);
+
 waiting_group group_of(const job_order_fields& order, bool started)
 {
     if (order.priority == 0) {
@@ -70,7 +73,7 @@
     if (const auto* it = std::get_if<worker_emptied>(&incoming)) {
         empty_worker(board, it->at, now.steady);
     } else if (std::holds_alternative<process_resumed>(incoming) ||
-        std::holds_alternative<stop_due>(incoming)) {
+               std::holds_alternative<stop_due>(incoming)) {
         drop_everything(board, now.steady);
     }
 }
@@ -79,6 +82,9 @@
 {
     start_waiting(board, now.steady);
     decide_waiting(board, now.steady);
+    if (board.sessions.empty() && !board.jobs.empty()) {
+        give_back(board, now.steady);
+    }
 }
 
 void dispatch_controller::accept(job_board& board, const delegation_received& received,
@@ -126,9 +132,8 @@
     }
 }
 
-std::optional<job_outcome> dispatch_controller::refusal(job_board& board,
-                                                        const job_order_fields& order,
-                                                        time_point now) const
+std::optional<job_outcome>
+dispatch_controller::refusal(job_board& board, const job_order_fields& order, time_point now) const
 {
     std::int64_t total = 0;
     std::int64_t free = 0;
@@ -168,18 +173,18 @@
     const std::int64_t missing = std::max<std::int64_t>(0, need - std::max<std::int64_t>(free, 0));
     const duration wait((ahead + missing * run_time.count()) / total);
     if (!admission_->worth_waiting(order, {.wait = wait, .run_time = run_time}, now)) {
-        board.outbox.post(log_decision{
-            "job_refused",
-            order.job->id.text(),
-            {{"reason", "objective"},
-             {"wait_us", std::to_string(wait.count())},
-             {"run_us", std::to_string(run_time.count())},
-             {"left_us", std::to_string((order.objective_at - now).count())},
-             {"age_us", std::to_string((now - order.received_at).count())},
-             {"need", std::to_string(need)},
-             {"free", std::to_string(free)},
-             {"total", std::to_string(total)},
-             {"waiting", std::to_string(board.waiting.size())}}});
+        board.outbox.post(
+            log_decision{"job_refused",
+                         order.job->id.text(),
+                         {{"reason", "objective"},
+                          {"wait_us", std::to_string(wait.count())},
+                          {"run_us", std::to_string(run_time.count())},
+                          {"left_us", std::to_string((order.objective_at - now).count())},
+                          {"age_us", std::to_string((now - order.received_at).count())},
+                          {"need", std::to_string(need)},
+                          {"free", std::to_string(free)},
+                          {"total", std::to_string(total)},
+                          {"waiting", std::to_string(board.waiting.size())}}});
         return job_outcome::refused;
     }
     return std::nullopt;
@@ -207,9 +212,7 @@
     for (const task_ref& it : waiting) {
         dequeue(board, it);
     }
-    jobs_.put(number, board.jobs.find(number)->with([](job_state_fields& it) {
-        it.closing = true;
-    }));
+    change_job(board, number, now, [](job_state_fields& it) { it.closing = true; });
     std::vector<run_name> active;
     for (auto it = board.runs.lower_bound({.job = job->order->job->id});
          it != board.runs.end() && it->key.job == job->order->job->id; ++it) {
@@ -228,6 +231,15 @@
     }
 }
 
+void dispatch_controller::change_job(job_board& board, job_number number, time_point now,
+                                     const std::function<void(job_state_fields&)>& change)
+{
+    const job_state job = board.jobs.find(number)->with(change);
+    const time_point useful_until = job->order->useful_until;
+    const time_point review = now < useful_until ? useful_until : now + progress_review;
+    jobs_.put(number, job, job->closing ? no_deadline : review);
+}
+
 void dispatch_controller::forget(job_board& board, job_number number)
 {
     std::vector<task_ref> known;
@@ -256,10 +268,9 @@
         lost.push_back(it->value);
     }
     for (const job_number it : lost) {
-        board.outbox.post(
-            log_decision{"job_orphaned",
-                         (*board.jobs.find(it))->order->job->id.text(),
-                         {{"link", std::to_string(link.value())}}});
+        board.outbox.post(log_decision{"job_orphaned",
+                                       (*board.jobs.find(it))->order->job->id.text(),
+                                       {{"link", std::to_string(link.value())}}});
         finish(board, it, job_outcome::interrupted, now);
     }
 }
@@ -275,13 +286,33 @@
     }
 }
 
+void dispatch_controller::give_back(job_board& board, time_point now)
+{
+    std::vector<job_number> idle;
+    for (const auto& it : board.jobs) {
+        const job_order_fields& order = *it.value->order;
+        const bool undecided = !it.value->started && now < admission_->decide_by(order);
+        if (!it.value->closing && it.value->running == 0 && !undecided) {
+            idle.push_back(it.key);
+        }
+    }
+    for (const job_number it : idle) {
+        const bool started = (*board.jobs.find(it))->started;
+        finish(board, it, started ? job_outcome::interrupted : job_outcome::refused, now);
+    }
+}
+
 void dispatch_controller::decide_waiting(job_board& board, time_point now)
 {
     while (const auto due = board.jobs.expired(now)) {
         const job_state job = *board.jobs.find(*due);
         const job_order_fields& order = *job->order;
-        if (job->closing || job->started) {
-            jobs_.put(*due, job);
+        if (job->started && job->running > 0) {
+            change_job(board, *due, now, [](job_state_fields&) {});
+            continue;
+        }
+        if (job->started) {
+            finish(board, *due, job_outcome::interrupted, now);
             continue;
         }
         if (now >= order.useful_until || refusal(board, order, now)) {
@@ -308,14 +339,13 @@
     const job_step& step = job->order->job->steps[task.step];
     const waiting_rank rank{
         .group = group_of(*job->order, job->started),
-        .start_by = job->order->objective_at -
-                    expected_run_time(board, job->order->queue, step),
+        .start_by = job->order->objective_at - expected_run_time(board, job->order->queue, step),
         .task = task,
     };
     waiting_.put(rank, task);
     waiting_ranks_.put(task, rank);
-    queued_work_.put({board.queued_work->microseconds +
-                      step.estimate.count() * step.need.cpu_millis / 1000});
+    queued_work_.put(
+        {board.queued_work->microseconds + step.estimate.count() * step.need.cpu_millis / 1000});
 }
 
 void dispatch_controller::dequeue(job_board& board, const task_ref& task)
@@ -324,8 +354,8 @@
     const job_step& step = (*board.jobs.find(task.job))->order->job->steps[task.step];
     waiting_.erase(rank);
     waiting_ranks_.erase(task);
-    queued_work_.put({board.queued_work->microseconds -
-                      step.estimate.count() * step.need.cpu_millis / 1000});
+    queued_work_.put(
+        {board.queued_work->microseconds - step.estimate.count() * step.need.cpu_millis / 1000});
 }
 
 void dispatch_controller::start_waiting(job_board& board, time_point now)
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -61,10 +61,10 @@
         .task = task, .at = at, .need = step.need, .ordered_at = now, .progress_at = now};
     put_run(name, run);
     occupy(board, run, true);
-    jobs_.put(task.job, board.jobs.find(task.job)->with([](job_state_fields& it) {
+    change_job(board, task.job, now, [](job_state_fields& it) {
         it.started = true;
         ++it.running;
-    }));
+    });
     board.outbox.post(start_run{.to = address_of(board, at, session),
                                 .run = name,
                                 .payload = order.job->payload,
@@ -74,9 +74,10 @@
     return true;
 }
 
-std::vector<placement_candidate>
-dispatch_controller::candidates_for(const job_board& board, const task_ref& task,
-                                    const job_state_fields& job, time_point now) const
+std::vector<placement_candidate> dispatch_controller::candidates_for(const job_board& board,
+                                                                     const task_ref& task,
+                                                                     const job_state_fields& job,
+                                                                     time_point now) const
 {
     const job_order_fields& order = *job.order;
     const job_step& step = order.job->steps[task.step];
@@ -97,12 +98,10 @@
             continue;
         }
         const worker_health* health = board.health.find(it.key);
-        const bool avoided =
-            it.key == avoid || (health != nullptr && health->avoid_until > now);
+        const bool avoided = it.key == avoid || (health != nullptr && health->avoid_until > now);
         sound = sound || !avoided;
         const worker_load* load = board.loads.find(it.key);
-        const resources free =
-            load == nullptr ? (*entry)->room : (*entry)->room - load->used;
+        const resources free = load == nullptr ? (*entry)->room : (*entry)->room - load->used;
         if (!step.need.fits(free)) {
             continue;
         }
@@ -267,9 +266,8 @@
     }
     run.phase = run_phase::stopping;
     put_run(name, run);
-    board.outbox.post(stop_run{.to = address_of(board, run.at, *session),
-                               .run = name,
-                               .give_up_at = now + order_timeout});
+    board.outbox.post(stop_run{
+        .to = address_of(board, run.at, *session), .run = name, .give_up_at = now + order_timeout});
 }
 
 void dispatch_controller::over(job_board& board, const run_name& name, run_end how, time_point now)
@@ -282,9 +280,7 @@
     runs_.erase(name);
     runs_by_worker_.erase({run.at, name});
     occupy(board, run, false);
-    jobs_.put(run.task.job, board.jobs.find(run.task.job)->with([](job_state_fields& it) {
-        --it.running;
-    }));
+    change_job(board, run.task.job, now, [](job_state_fields& it) { --it.running; });
     const job_state job = *board.jobs.find(run.task.job);
     if (job->closing) {
         if (job->running == 0) {
@@ -316,9 +312,7 @@
 void dispatch_controller::task_done(job_board& board, const run_state& run, time_point now)
 {
     const job_number number = run.task.job;
-    jobs_.put(number, board.jobs.find(number)->with([&](job_state_fields& it) {
-        --it.unfinished[run.task.step];
-    }));
+    change_job(board, number, now, [&](job_state_fields& it) { --it.unfinished[run.task.step]; });
     const job_state job = *board.jobs.find(number);
     if (job->unfinished[run.task.step] > 0) {
         return;
--- a/packages/core/src/jobs/controllers/health_controller.cpp
+++ b/packages/core/src/jobs/controllers/health_controller.cpp
@@ -12,6 +12,8 @@
 
 /// Weight of the newest run in a worker's slowness.
 constexpr double slowness_weight = 0.3;
+/// The same when the run was faster than expected of the worker.
+constexpr double recovery_weight = 0.6;
 /// Time that a worker gets nothing after it refused a start.
 constexpr duration refusal_pause = std::chrono::milliseconds(150);
 /// Time that a worker gets nothing after it did not answer a start.
@@ -53,7 +55,8 @@
     }
     if (const auto* it = std::get_if<run_timed>(&incoming)) {
         worker_health health = known_health(board, it->at);
-        health.slowness += slowness_weight * (it->ratio - health.slowness);
+        const double weight = it->ratio < health.slowness ? recovery_weight : slowness_weight;
+        health.slowness += weight * (it->ratio - health.slowness);
         ++health.samples;
         put(board, it->at, health, now.steady, "slow");
     }
@@ -80,13 +83,12 @@
     const time_point until = ejection_->avoid_until(health, now);
     if (until > now) {
         if (health.avoid_until <= now) {
-            board.outbox.post(log_decision{
-                "worker_avoided",
-                id.text(),
-                {{"evidence", evidence},
-                 {"failures", std::to_string(health.failures_in_a_row)},
-                 {"stalls", std::to_string(health.stalls_in_a_row)},
-                 {"slowness", std::to_string(health.slowness)}}});
+            board.outbox.post(log_decision{"worker_avoided",
+                                           id.text(),
+                                           {{"evidence", evidence},
+                                            {"failures", std::to_string(health.failures_in_a_row)},
+                                            {"stalls", std::to_string(health.stalls_in_a_row)},
+                                            {"slowness", std::to_string(health.slowness)}}});
         }
         health.avoid_until = std::max(health.avoid_until, until);
     }
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -105,24 +105,22 @@
     const std::string& id = submitted.job->id.text();
     if (queues.version == 0) {
         board.outbox.post(log_decision{"job_refused", id, {{"reason", "no_configuration"}}});
-        board.outbox.post(
-            answer_job{submitted.call, job_outcome::refused, now + retry_after});
+        board.outbox.post(answer_job{submitted.call, job_outcome::refused, now + retry_after});
         return;
     }
     const queue_definition* queue = queues.match(submitted.hostname, submitted.path);
     if (queue == nullptr) {
-        board.outbox.post(log_decision{"job_refused",
-                                       id,
-                                       {{"reason", "unknown_queue"},
-                                        {"version", std::to_string(queues.version)}}});
+        board.outbox.post(log_decision{
+            "job_refused",
+            id,
+            {{"reason", "unknown_queue"}, {"version", std::to_string(queues.version)}}});
         board.outbox.post(answer_job{submitted.call, job_outcome::unknown_queue, now});
         return;
     }
     if (!is_supported(*submitted.job)) {
         board.outbox.post(log_decision{
             "job_refused", id, {{"reason", "unsupported_kind"}, {"queue", queue->name.text()}}});
-        board.outbox.post(
-            answer_job{submitted.call, job_outcome::unsupported, now + retry_after});
+        board.outbox.post(answer_job{submitted.call, job_outcome::unsupported, now + retry_after});
         return;
     }
     place(board, submitted.call,
@@ -281,8 +279,7 @@
         return;
     }
     if (accepted->dispatcher == board.self.host) {
-        board.raised.post(
-            delegation_withdrawn{{.link = {}, .delegation = accepted->delegation}});
+        board.raised.post(delegation_withdrawn{{.link = {}, .delegation = accepted->delegation}});
     } else {
         board.outbox.post(withdraw_delegation{accepted->dispatcher, accepted->delegation});
     }
--- a/packages/core/src/jobs/controllers/lifecycle_controller.cpp
+++ b/packages/core/src/jobs/controllers/lifecycle_controller.cpp
@@ -53,8 +53,7 @@
         state.stopped = true;
         state_.put(state);
         board.raised.post(stop_due{});
-        board.outbox.post(
-            log_decision{"stopping", "process", {{"idle", idle ? "1" : "0"}}});
+        board.outbox.post(log_decision{"stopping", "process", {{"idle", idle ? "1" : "0"}}});
         board.outbox.post(stop_dispatcher{});
     }
 }
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -49,9 +49,8 @@
         list(board, it->entry);
     }
     if (const auto* it = std::get_if<peer_connected>(&incoming)) {
-        peers_.put(it->host, {.incarnation = it->incarnation,
-                              .connected = true,
-                              .changed_at = now.steady});
+        peers_.put(it->host,
+                   {.incarnation = it->incarnation, .connected = true, .changed_at = now.steady});
         board.outbox.post(log_decision{"peer_connected", it->host.text(), {}});
     }
     if (const auto* it = std::get_if<peer_lost>(&incoming)) {
@@ -73,6 +72,9 @@
             board.outbox.post(answer_delegation{it->origin, it->outcome});
         }
     }
+    if (std::holds_alternative<process_resumed>(incoming)) {
+        board.outbox.post(drop_links{});
+    }
     if (const auto* it = std::get_if<job_delegated>(&incoming)) {
         if (const peer_state* known = board.peers.find(it->to)) {
             peer_state state = *known;
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -16,9 +16,11 @@
 using std::chrono::milliseconds;
 
 /// Time that a report waits for an end while there are runs.
-constexpr milliseconds report_wait{200};
+constexpr milliseconds report_wait{150};
 /// Time that a worker has for an answer beyond what it waits.
-constexpr duration answer_time = milliseconds(250);
+constexpr duration answer_time = milliseconds(150);
+/// Time beyond that of a stop after which a run that was stopped is not listed any more.
+constexpr duration clearing_margin = milliseconds(10);
 /// Age of a clock reading from which an idle worker is asked again.
 constexpr duration idle_refresh = std::chrono::seconds(5);
 /// Time between two attempts to reach a worker.
@@ -55,7 +57,7 @@
     }
     if (const auto* it = std::get_if<stop_answered>(&incoming)) {
         const worker_session* known = board.sessions.find(it->at);
-        if (known != nullptr && it->accepted) {
+        if (known != nullptr && it->accepted && board.runs.contains(it->run)) {
             look(board, it->at, *known, now.steady);
         }
     }
@@ -198,9 +200,8 @@
             return;
         }
         board.raised.post(worker_emptied{received.at});
-        board.outbox.post(log_decision{"worker_reborn",
-                                       received.at.text(),
-                                       {{"born", std::to_string(report.born)}}});
+        board.outbox.post(log_decision{
+            "worker_reborn", received.at.text(), {{"born", std::to_string(report.born)}}});
         session = {.cell = session.cell, .token = session.token};
     }
     session.born = report.born != 0 ? report.born : session.born;
@@ -228,7 +229,12 @@
         }
         session.phase = taken_over ? session_phase::ready : session_phase::clearing;
     }
-    stop_strays(board, received.at, session, strays, now);
+    const bool again =
+        now >= session.strays_stopped_at + board.parameters.stop_time + clearing_margin;
+    if (!strays.empty() && (again || strays != session.strays)) {
+        stop_strays(board, received.at, session, strays, now);
+        session.strays_stopped_at = now;
+    }
     session.strays = std::move(strays);
     sessions_.put(received.at, std::move(session));
 }
@@ -259,9 +265,16 @@
             "worker_unreachable", failed.at.text(), {{"reason", to_string(failed.reason)}}});
     }
     session.reported_end = 0;
-    if (session.phase != session_phase::awaiting_release) {
-        session.phase = session_phase::unreachable;
-        session.report_sent_at = now;
+    if (session.phase == session_phase::awaiting_release) {
+        sessions_.put(failed.at, std::move(session));
+        return;
+    }
+    const bool first = session.phase == session_phase::ready && !gone;
+    session.phase = session_phase::unreachable;
+    session.report_sent_at = now;
+    if (first) {
+        look(board, failed.at, std::move(session), now);
+        return;
     }
     sessions_.put(failed.at, std::move(session));
 }
@@ -317,7 +330,11 @@
         return;
     }
     if (session.phase != session_phase::ready) {
-        if (now >= session.report_sent_at + answer_time + retry_delay) {
+        const bool answered = session.clock_read_at >= session.report_sent_at;
+        const duration pause = session.phase == session_phase::clearing && answered
+                                   ? board.parameters.stop_time + clearing_margin
+                                   : answer_time + retry_delay;
+        if (now >= session.report_sent_at + pause) {
             look(board, id, session, now);
         }
         return;
--- a/packages/core/src/jobs/policies/placement_policy.cpp
+++ b/packages/core/src/jobs/policies/placement_policy.cpp
@@ -29,8 +29,7 @@
                              const std::vector<placement_candidate>& candidates) const
 {
     const auto cost = [&](const placement_candidate& it) {
-        const bool away =
-            !step.preferred_rack.empty() && !it.entry->has_label(step.preferred_rack);
+        const bool away = !step.preferred_rack.empty() && !it.entry->has_label(step.preferred_rack);
         return std::make_tuple(it.avoided, away, class_of(it.slowness),
                                (it.free - step.need).cpu_millis);
     };
--- a/packages/daemon/include/papayafall/daemon/kept/connection_group.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/connection_group.hpp
@@ -16,8 +16,7 @@
 
     const endpoint& address() const noexcept { return address_; }
 
-    void send(http_request_message request, time_point give_up_at,
-              kept_connection::handler handle);
+    void send(http_request_message request, time_point give_up_at, kept_connection::handler handle);
 
     /// Acts on the deadlines of calls that run or wait.
     void on_tick(time_point now);
--- a/packages/daemon/include/papayafall/daemon/logging/log.hpp
+++ b/packages/daemon/include/papayafall/daemon/logging/log.hpp
@@ -23,8 +23,8 @@
 };
 
 /// Directs log records to the file, to standard output (`-`) or to standard error, one JSON object
-/// a line. Records for standard output are written by a thread of their own; when its buffer is full
-/// they are dropped and counted, so that no thread waits for a slow reader.
+/// a line. Records for standard output are written by a thread of their own; when its buffer is
+/// full they are dropped and counted, so that no thread waits for a slow reader.
 /// @throws configuration_error when the file cannot be opened
 void open_log(const log_settings& wanted);
 
--- /dev/null
+++ b/packages/daemon/tests/kept/unit-kept_http.cpp
@@ -0,0 +1,270 @@
+#include "support/event_loop.hpp"
+#include "support/test_application.hpp"
+
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/kept/connection_group.hpp"
+#include "papayafall/daemon/kept/request_server.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <optional>
+#include <vector>
+
+namespace papayafall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Keeps what arrives; the test answers.
+class recording_handler : public request_handler {
+  public:
+    void on_request(call_id call, const http_request_message& request) override
+    {
+        calls.push_back(call);
+        requests.push_back(request);
+    }
+
+    void on_abandoned(call_id call) override { abandoned.push_back(call); }
+
+    std::vector<call_id> calls;
+    std::vector<http_request_message> requests;
+    std::vector<call_id> abandoned;
+};
+
+const endpoint any_port{"127.0.0.1", 0};
+
+class kept_http_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(kept_http_test);
+    CPPUNIT_TEST(messages_are_read_in_any_pieces);
+    CPPUNIT_TEST(messages_over_the_limits_are_refused);
+    CPPUNIT_TEST(bytes_that_are_no_message_are_refused);
+    CPPUNIT_TEST(calls_share_one_kept_connection);
+    CPPUNIT_TEST(a_port_without_listener_refuses);
+    CPPUNIT_TEST(a_silent_peer_times_out);
+    CPPUNIT_TEST(a_connection_that_ends_breaks_the_call_and_sends_it_once);
+    CPPUNIT_TEST(calls_beyond_the_limit_wait);
+    CPPUNIT_TEST(a_waiting_call_times_out);
+    CPPUNIT_TEST(a_caller_that_hangs_up_is_told_and_not_answered);
+    CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
+    CPPUNIT_TEST(an_unfinished_request_is_dropped);
+    CPPUNIT_TEST(the_last_answer_ends_the_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override
+    {
+        ensure_application();
+        handler_ = std::make_unique<recording_handler>();
+        server_ = std::make_unique<request_server>(
+            request_server_options{.listen = any_port, .transfer_time = milliseconds(50)},
+            *handler_);
+    }
+
+    void tearDown() override
+    {
+        server_.reset();
+        handler_.reset();
+    }
+
+    void messages_are_read_in_any_pieces()
+    {
+        const std::string text = encode_request(
+            {.method = "POST", .target = "/a?b=c", .headers = {{"X-Name", "v"}}, .body = "body"},
+            "host");
+        for (std::size_t size = 1; size <= text.size(); ++size) {
+            http_reader<http_request_message> reader{http_limits()};
+            std::optional<http_request_message> found;
+            for (std::size_t n = 0; n < text.size(); n += size) {
+                CPPUNIT_ASSERT(!found);
+                reader.feed(std::string_view(text).substr(n, size));
+                found = reader.next();
+            }
+            CPPUNIT_ASSERT(found.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::string("body"), found->body);
+            CPPUNIT_ASSERT_EQUAL(std::string("v"), std::string(found->header("x-name")));
+            CPPUNIT_ASSERT_EQUAL(std::string("/a?b=c"), found->target);
+        }
+    }
+
+    void messages_over_the_limits_are_refused()
+    {
+        http_reader<http_request_message> reader({.header_bytes = 200, .body_bytes = 10});
+        reader.feed("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+        CPPUNIT_ASSERT_THROW(reader.next(), message_error);
+        http_reader<http_request_message> other({.header_bytes = 200, .body_bytes = 10});
+        other.feed("GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n");
+        CPPUNIT_ASSERT_THROW(other.next(), message_error);
+    }
+
+    void bytes_that_are_no_message_are_refused()
+    {
+        http_reader<http_reply_message> reader{http_limits()};
+        reader.feed("\x01\x02 no reply at all\r\n\r\n");
+        CPPUNIT_ASSERT_THROW(reader.next(), message_error);
+    }
+
+    void calls_share_one_kept_connection()
+    {
+        kept_connection connection({"127.0.0.1", server_->port()}, http_limits());
+        for (std::size_t n = 1; n <= 3; ++n) {
+            std::optional<exchange_result> result;
+            send(connection, result, milliseconds(5000));
+            CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == n; }));
+            server_->answer(handler_->calls.back(), {.status = 200, .body = "yes"});
+            CPPUNIT_ASSERT(run_until([&] { return result.has_value(); }));
+            CPPUNIT_ASSERT(result->error == exchange_error::none);
+            CPPUNIT_ASSERT_EQUAL(std::string("yes"), result->reply.body);
+            CPPUNIT_ASSERT(connection.open());
+        }
+    }
+
+    void a_port_without_listener_refuses()
+    {
+        const std::uint16_t port = server_->port();
+        server_.reset();
+        kept_connection connection({"127.0.0.1", port}, http_limits());
+        std::optional<exchange_result> result;
+        send(connection, result, milliseconds(5000));
+        CPPUNIT_ASSERT(run_until([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(result->error == exchange_error::refused);
+    }
+
+    void a_silent_peer_times_out()
+    {
+        kept_connection connection({"127.0.0.1", server_->port()}, http_limits());
+        std::optional<exchange_result> result;
+        send(connection, result, milliseconds(20));
+        CPPUNIT_ASSERT(run_until([&] {
+            connection.on_tick(steady_now());
+            return result.has_value();
+        }));
+        CPPUNIT_ASSERT(result->error == exchange_error::timed_out);
+        CPPUNIT_ASSERT(!connection.open());
+    }
+
+    void a_connection_that_ends_breaks_the_call_and_sends_it_once()
+    {
+        QTcpServer peer;
+        CPPUNIT_ASSERT(peer.listen(QHostAddress::LocalHost));
+        int accepted = 0;
+        QObject::connect(&peer, &QTcpServer::newConnection, [&] {
+            QTcpSocket* const socket = peer.nextPendingConnection();
+            ++accepted;
+            QObject::connect(socket, &QTcpSocket::readyRead, [socket] { socket->abort(); });
+        });
+        kept_connection connection({"127.0.0.1", peer.serverPort()}, http_limits());
+        std::optional<exchange_result> result;
+        send(connection, result, milliseconds(5000));
+        CPPUNIT_ASSERT(run_until([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(result->error == exchange_error::broken);
+        CPPUNIT_ASSERT(!run_until([&] { return accepted > 1; }, milliseconds(50)));
+    }
+
+    void calls_beyond_the_limit_wait()
+    {
+        connection_group group({"127.0.0.1", server_->port()}, http_limits(), 2);
+        int done = 0;
+        for (int n = 0; n < 5; ++n) {
+            group.send({.method = "GET", .target = "/"}, steady_now() + milliseconds(5000),
+                       [&done](const exchange_result&) { ++done; });
+        }
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 2; }));
+        CPPUNIT_ASSERT(!run_until([&] { return handler_->calls.size() > 2; }, milliseconds(30)));
+        for (std::size_t n = 0; n < 5; ++n) {
+            CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() > n; }));
+            server_->answer(handler_->calls[n], {.status = 200});
+        }
+        CPPUNIT_ASSERT(run_until([&] { return done == 5; }));
+    }
+
+    void a_waiting_call_times_out()
+    {
+        connection_group group({"127.0.0.1", server_->port()}, http_limits(), 1);
+        std::vector<exchange_error> errors;
+        for (int n = 0; n < 2; ++n) {
+            group.send({.method = "GET", .target = "/"}, steady_now() + milliseconds(20),
+                       [&errors](const exchange_result& it) { errors.push_back(it.error); });
+        }
+        CPPUNIT_ASSERT(run_until([&] {
+            group.on_tick(steady_now());
+            return errors.size() == 2;
+        }));
+        CPPUNIT_ASSERT(errors[0] == exchange_error::timed_out);
+        CPPUNIT_ASSERT(errors[1] == exchange_error::timed_out);
+    }
+
+    void a_caller_that_hangs_up_is_told_and_not_answered()
+    {
+        auto connection = std::make_unique<kept_connection>(endpoint{"127.0.0.1", server_->port()},
+                                                            http_limits());
+        std::optional<exchange_result> result;
+        send(*connection, result, milliseconds(5000));
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 1; }));
+        connection.reset();
+        CPPUNIT_ASSERT(run_until([&] { return handler_->abandoned.size() == 1; }));
+        CPPUNIT_ASSERT(handler_->abandoned == handler_->calls);
+        server_->answer(handler_->calls[0], {.status = 200});
+    }
+
+    void pipelined_requests_are_answered_in_order()
+    {
+        QTcpSocket socket;
+        socket.connectToHost(QHostAddress::LocalHost, server_->port());
+        socket.write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 1; }));
+        CPPUNIT_ASSERT(!run_until([&] { return handler_->calls.size() > 1; }, milliseconds(30)));
+        server_->answer(handler_->calls[0], {.status = 200, .body = "one"});
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 2; }));
+        server_->answer(handler_->calls[1], {.status = 404, .body = "two"});
+        CPPUNIT_ASSERT(run_until([&] { return socket.peek(4096).contains("two"); }));
+        const QByteArray all = socket.readAll();
+        CPPUNIT_ASSERT(all.indexOf("one") < all.indexOf("two"));
+    }
+
+    void an_unfinished_request_is_dropped()
+    {
+        QTcpSocket socket;
+        socket.connectToHost(QHostAddress::LocalHost, server_->port());
+        socket.write("POST /1 HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+        CPPUNIT_ASSERT(run_until([&] {
+            server_->on_tick(steady_now());
+            return socket.state() == QAbstractSocket::UnconnectedState;
+        }));
+        CPPUNIT_ASSERT(handler_->calls.empty());
+    }
+
+    void the_last_answer_ends_the_connection()
+    {
+        kept_connection connection({"127.0.0.1", server_->port()}, http_limits());
+        std::optional<exchange_result> result;
+        send(connection, result, milliseconds(5000));
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 1; }));
+        server_->close_after_answers();
+        server_->answer(handler_->calls[0], {.status = 200});
+        CPPUNIT_ASSERT(run_until([&] { return result.has_value(); }));
+        CPPUNIT_ASSERT(result->error == exchange_error::none);
+        CPPUNIT_ASSERT(!connection.open());
+    }
+
+  private:
+    static void send(kept_connection& connection, std::optional<exchange_result>& result,
+                     milliseconds limit)
+    {
+        connection.send({.method = "GET", .target = "/"}, steady_now() + limit,
+                        [&result](const exchange_result& it) { result = it; });
+    }
+
+    std::unique_ptr<recording_handler> handler_;
+    std::unique_ptr<request_server> server_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(kept_http_test);
+
+} // namespace
+
+} // namespace papayafall
--- /dev/null
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -0,0 +1,111 @@
+#include "papayafall/core/errors/exception.hpp"
+#include "papayafall/wire/jobs/job_message.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace papayafall::jobs {
+
+namespace {
+
+constexpr time_point sent_at{std::chrono::seconds(50)};
+constexpr time_point received_at{std::chrono::seconds(9)};
+
+job_order sample_order(time_point now)
+{
+    job_spec_fields job{.id = job_id("0123456789abcdef"), .payload = "payload"};
+    job.kind.best_effort = true;
+    job.steps.push_back({.count = 4,
+                         .need = {.cpu_millis = 500, .memory_mb = 256, .accelerators = 1},
+                         .estimate = std::chrono::milliseconds(900),
+                         .required_label = label_name("b"),
+                         .preferred_rack = label_name("r1-3"),
+                         .max_per_worker = 2,
+                         .speculative = true});
+    job.steps.push_back({.count = 1, .after = {0}});
+    return job_order_fields{.job = std::move(job),
+                            .queue = queue_name("check"),
+                            .service = service_name("desk"),
+                            .configuration_version = 7,
+                            .max_attempts = 3,
+                            .priority = 1,
+                            .received_at = now - std::chrono::milliseconds(5),
+                            .objective_at = now + std::chrono::milliseconds(100),
+                            .useful_until = now + std::chrono::milliseconds(300),
+                            .answer_by = no_deadline};
+}
+
+std::vector<job_message> samples(time_point now)
+{
+    return {link_hello{host_name("entry-1"), incarnation_id(3)},
+            link_beat{},
+            link_load{{.accepting = true,
+                       .free_cpu_millis = -5,
+                       .total_cpu_millis = 64'000,
+                       .wait = std::chrono::milliseconds(7)}},
+            link_delegation{delegation_id(9), sample_order(now)},
+            link_withdrawal{delegation_id(9)},
+            link_outcome{delegation_id(9), job_outcome::interrupted},
+            link_release{worker_id("w-1")}};
+}
+
+class job_message_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(job_message_test);
+    CPPUNIT_TEST(every_message_survives);
+    CPPUNIT_TEST(deadlines_move_with_the_clock_of_the_receiver);
+    CPPUNIT_TEST(truncated_frames_are_refused);
+    CPPUNIT_TEST(impossible_sizes_are_refused);
+    CPPUNIT_TEST(other_versions_and_kinds_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void every_message_survives()
+    {
+        for (const job_message& it : samples(sent_at)) {
+            const std::string frame = encode_job_frame(it, sent_at);
+            CPPUNIT_ASSERT_EQUAL(frame.size(), job_frame_size(frame).value());
+            CPPUNIT_ASSERT(decode_job_frame(frame, sent_at) == it);
+        }
+    }
+
+    void deadlines_move_with_the_clock_of_the_receiver()
+    {
+        const std::string frame =
+            encode_job_frame(link_delegation{delegation_id(1), sample_order(sent_at)}, sent_at);
+        const job_message expected = link_delegation{delegation_id(1), sample_order(received_at)};
+        CPPUNIT_ASSERT(decode_job_frame(frame, received_at) == expected);
+    }
+
+    void truncated_frames_are_refused()
+    {
+        for (const job_message& it : samples(sent_at)) {
+            const std::string frame = encode_job_frame(it, sent_at);
+            for (std::size_t n = 4; n < frame.size(); ++n) {
+                CPPUNIT_ASSERT_THROW(decode_job_frame(frame.substr(0, n), sent_at), message_error);
+            }
+        }
+    }
+
+    void impossible_sizes_are_refused()
+    {
+        CPPUNIT_ASSERT(!job_frame_size("abc"));
+        CPPUNIT_ASSERT_THROW(job_frame_size(std::string(4, '\0')), message_error);
+        CPPUNIT_ASSERT_THROW(job_frame_size(std::string(4, '\xff')), message_error);
+    }
+
+    void other_versions_and_kinds_are_refused()
+    {
+        std::string frame = encode_job_frame(link_beat{}, sent_at);
+        frame[5] = 99;
+        CPPUNIT_ASSERT_THROW(decode_job_frame(frame, sent_at), message_error);
+        frame[4] = 99;
+        CPPUNIT_ASSERT_THROW(decode_job_frame(frame, sent_at), message_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(job_message_test);
+
+} // namespace
+
+} // namespace papayafall::jobs
