--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -20,6 +20,7 @@
     call_id call;
     job_outcome outcome = job_outcome::refused;
     time_point retry_at{}; ///< for `refused`: when to come back
+    time_point received_at{};
 };
 
 struct answer_queue {
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -105,7 +105,7 @@
     const std::string& id = submitted.job->id.text();
     if (queues.version == 0) {
         board.outbox.post(log_decision{"job_refused", id, {{"reason", "no_configuration"}}});
-        board.outbox.post(answer_job{submitted.call, job_outcome::refused, now + retry_after});
+        board.outbox.post(answer_job{submitted.call, job_outcome::refused, now + retry_after, now});
         return;
     }
     const queue_definition* queue = queues.match(submitted.hostname, submitted.path);
@@ -114,13 +114,14 @@
             "job_refused",
             id,
             {{"reason", "unknown_queue"}, {"version", std::to_string(queues.version)}}});
-        board.outbox.post(answer_job{submitted.call, job_outcome::unknown_queue, now});
+        board.outbox.post(answer_job{submitted.call, job_outcome::unknown_queue, now, now});
         return;
     }
     if (!is_supported(*submitted.job)) {
         board.outbox.post(log_decision{
             "job_refused", id, {{"reason", "unsupported_kind"}, {"queue", queue->name.text()}}});
-        board.outbox.post(answer_job{submitted.call, job_outcome::unsupported, now + retry_after});
+        board.outbox.post(
+            answer_job{submitted.call, job_outcome::unsupported, now + retry_after, now});
         return;
     }
     place(board, submitted.call,
@@ -298,7 +299,7 @@
                                     {"attempts", std::to_string(accepted->attempts)},
                                     {"ms", std::to_string(taken.count())},
                                     {"late", now > order.objective_at ? "1" : "0"}}});
-    board.outbox.post(answer_job{call, outcome, now + retry_after});
+    board.outbox.post(answer_job{call, outcome, now + retry_after, order.received_at});
     delegations_.erase(accepted->delegation);
     calls_.erase(call);
 }
