--- a/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
@@ -33,7 +33,8 @@
     void take_answer(job_board& board, const delegation_answered& answered, time_point now);
     void place(job_board& board, call_id call, const accepted_call& accepted, time_point now);
     void withdraw(job_board& board, const accepted_call& accepted);
-    void finish(job_board& board, call_id call, job_outcome outcome, time_point now);
+    void finish(job_board& board, call_id call, job_outcome outcome, const char* decided_by,
+                time_point now);
 
     std::shared_ptr<const dispatcher_selection_policy> selection_;
     std::shared_ptr<const job_admission_policy> admission_;
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -36,6 +36,8 @@
     std::vector<std::uint32_t> unfinished; ///< tasks of each step that are not done
     std::uint32_t waiting = 0;             ///< tasks that may start
     std::uint32_t running = 0;             ///< runs that are not known to be over
+    std::uint32_t runs = 0;                ///< starts that were ordered
+    time_point started_at{};               ///< of the first of them
     bool started = false;                  ///< a start was ordered
     bool closing = false;                  ///< answered; only its runs are still being stopped
 
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -20,6 +20,27 @@
 /// Time between two looks at a job that is past its use.
 constexpr duration progress_review = std::chrono::milliseconds(500);
 
+std::string milliseconds_of(duration it)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
+}
+
+void log_end(job_board& board, const job_state_fields& job, job_outcome outcome, time_point now)
+{
+    const job_order_fields& order = *job.order;
+    const time_point started_at = job.started ? job.started_at : now;
+    board.outbox.post(
+        log_decision{"job_over",
+                     order.job->id.text(),
+                     {{"outcome", to_string(outcome)},
+                      {"queue", order.queue.text()},
+                      {"version", std::to_string(order.configuration_version)},
+                      {"waited_ms", milliseconds_of(started_at - order.received_at)},
+                      {"ran_ms", milliseconds_of(now - started_at)},
+                      {"runs", std::to_string(job.runs)},
+                      {"objective_ms", milliseconds_of(order.objective_at - order.received_at)}}});
+}
+
 waiting_group group_of(const job_order_fields& order, bool started)
 {
     if (order.priority == 0) {
@@ -198,6 +219,7 @@
         return;
     }
     const job_state job = *found;
+    log_end(board, *job, outcome, now);
     board.raised.post(job_over{job->origin, outcome});
     jobs_by_origin_.erase(job->origin);
     if (const job_number* current = board.jobs_by_id.find(job->order->job->id);
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -61,8 +61,10 @@
         .task = task, .at = at, .need = step.need, .ordered_at = now, .progress_at = now};
     put_run(name, run);
     occupy(board, run, true);
-    change_job(board, task.job, now, [](job_state_fields& it) {
+    change_job(board, task.job, now, [now](job_state_fields& it) {
+        it.started_at = it.started ? it.started_at : now;
         it.started = true;
+        ++it.runs;
         ++it.running;
     });
     board.outbox.post(start_run{.to = address_of(board, at, session),
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -94,7 +94,7 @@
         if (undecided) {
             place(board, *due, call, now.steady);
         } else {
-            finish(board, *due, job_outcome::refused, now.steady);
+            finish(board, *due, job_outcome::refused, "no_dispatcher", now.steady);
         }
     }
 }
@@ -209,7 +209,7 @@
     }
     if (asked.cancel) {
         withdraw(board, *board.calls.find(*found));
-        finish(board, *found, job_outcome::cancelled, now);
+        finish(board, *found, job_outcome::cancelled, "caller", now);
     }
     board.outbox.post(
         answer_status{asked.call, asked.cancel ? job_status::cancelled : job_status::running});
@@ -239,7 +239,7 @@
         }
     }
     for (const call_id it : lost) {
-        finish(board, it, job_outcome::interrupted, now);
+        finish(board, it, job_outcome::interrupted, "dispatcher_lost", now);
     }
 }
 
@@ -251,7 +251,7 @@
     }
     for (const call_id it : open) {
         withdraw(board, *board.calls.find(it));
-        finish(board, it, job_outcome::interrupted, now);
+        finish(board, it, job_outcome::interrupted, "leaving", now);
     }
 }
 
@@ -271,7 +271,7 @@
               now);
         return;
     }
-    finish(board, call, answered.outcome, now);
+    finish(board, call, answered.outcome, "dispatcher", now);
 }
 
 void intake_controller::withdraw(job_board& board, const accepted_call& accepted)
@@ -286,7 +286,8 @@
     }
 }
 
-void intake_controller::finish(job_board& board, call_id call, job_outcome outcome, time_point now)
+void intake_controller::finish(job_board& board, call_id call, job_outcome outcome,
+                               const char* decided_by, time_point now)
 {
     const accepted_call accepted = *board.calls.find(call);
     const job_order_fields& order = *accepted->order;
@@ -295,6 +296,7 @@
     board.outbox.post(log_decision{"job_answered",
                                    order.job->id.text(),
                                    {{"outcome", to_string(outcome)},
+                                    {"decided_by", decided_by},
                                     {"dispatcher", accepted->dispatcher.text()},
                                     {"attempts", std::to_string(accepted->attempts)},
                                     {"ms", std::to_string(taken.count())},
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -45,10 +45,10 @@
     {
         const auto starts = submit(1, 3);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, starts.size());
-        for (std::size_t n = 0; n < starts.size(); ++n) {
+        for (const start_run& it : starts) {
             CPPUNIT_ASSERT(fixture_->take<answer_job>().empty());
-            fixture_->accept(starts[n]);
-            fixture_->end(starts[n], run_end::done);
+            fixture_->accept(it);
+            fixture_->end(it, run_end::done);
         }
         expect_answer(job_outcome::succeeded);
         CPPUNIT_ASSERT(fixture_->board().jobs.empty());
--- a/packages/daemon/include/papayafall/daemon/kept/connection_group.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/connection_group.hpp
@@ -4,8 +4,7 @@
 
 #include <cstddef>
 #include <deque>
-#include <memory>
-#include <vector>
+#include <list>
 
 namespace papayafall {
 
@@ -38,7 +37,7 @@
     endpoint address_;
     http_limits limits_;
     std::size_t most_connections_;
-    std::vector<std::unique_ptr<kept_connection>> connections_;
+    std::list<kept_connection> connections_; ///< an answer may add one while they are visited
     std::deque<waiting_call> waiting_;
 };
 
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -72,12 +72,13 @@
     }
 
   protected:
+    job_links& owner() const noexcept { return owner_; }
+
+    QTcpSocket& socket() const noexcept { return *socket_; }
+
     virtual void on_message(const job_message& message) = 0;
     virtual void on_lost(const char* reason) = 0;
 
-    job_links& owner_;
-    QTcpSocket* socket_;
-
   private:
     void receive()
     {
@@ -103,6 +104,8 @@
         }
     }
 
+    job_links& owner_;
+    QTcpSocket* socket_;
     std::string received_;
     time_point heard_at_{};
     time_point written_at_{};
@@ -115,12 +118,12 @@
     outgoing(job_links& owner, const host_entry& entry)
         : link(owner, new QTcpSocket()), entry_(entry)
     {
-        socket_->setProxy(QNetworkProxy::NoProxy);
-        QObject::connect(socket_, &QTcpSocket::connected, [this] {
-            tune_socket(*socket_);
-            write(link_hello{owner_.options_.host, owner_.options_.incarnation});
+        socket().setProxy(QNetworkProxy::NoProxy);
+        QObject::connect(&socket(), &QTcpSocket::connected, [this] {
+            tune_socket(socket());
+            write(link_hello{this->owner().options_.host, this->owner().options_.incarnation});
         });
-        socket_->connectToHost(QHostAddress(QString::fromStdString(entry.link.address)),
+        socket().connectToHost(QHostAddress(QString::fromStdString(entry.link.address)),
                                entry.link.port);
     }
 
@@ -135,23 +138,23 @@
     {
         if (const auto* it = std::get_if<link_hello>(&message)) {
             greeted_ = true;
-            owner_.events_.post(peer_connected{it->host, it->incarnation});
+            owner().events_.post(peer_connected{it->host, it->incarnation});
         }
         if (const auto* it = std::get_if<link_load>(&message)) {
-            owner_.events_.post(load_reported{entry_.host, it->load});
+            owner().events_.post(load_reported{entry_.host, it->load});
         }
         if (const auto* it = std::get_if<link_outcome>(&message)) {
-            owner_.events_.post(delegation_answered{it->delegation, it->outcome});
+            owner().events_.post(delegation_answered{it->delegation, it->outcome});
         }
     }
 
     void on_lost(const char* reason) override
     {
-        retry_at_ = steady_now() + owner_.options_.reconnect_delay;
+        retry_at_ = steady_now() + owner().options_.reconnect_delay;
         if (greeted_) {
             write_log(log_level::info, "link lost",
                       {{"host", entry_.host.text()}, {"reason", reason}});
-            owner_.events_.post(peer_lost{entry_.host});
+            owner().events_.post(peer_lost{entry_.host});
         }
     }
 
@@ -173,16 +176,16 @@
     void on_message(const job_message& message) override
     {
         if (std::holds_alternative<link_hello>(message)) {
-            write(link_hello{owner_.options_.host, owner_.options_.incarnation});
+            write(link_hello{owner().options_.host, owner().options_.incarnation});
         }
         if (const auto* it = std::get_if<link_delegation>(&message)) {
-            owner_.events_.post(delegation_received{{number_, it->delegation}, it->order});
+            owner().events_.post(delegation_received{{number_, it->delegation}, it->order});
         }
         if (const auto* it = std::get_if<link_withdrawal>(&message)) {
-            owner_.events_.post(delegation_withdrawn{{number_, it->delegation}});
+            owner().events_.post(delegation_withdrawn{{number_, it->delegation}});
         }
         if (const auto* it = std::get_if<link_release>(&message)) {
-            owner_.events_.post(worker_released{it->worker});
+            owner().events_.post(worker_released{it->worker});
         }
     }
 
@@ -190,7 +193,7 @@
     {
         write_log(log_level::info, "delegating link lost",
                   {{"link", number_.value()}, {"reason", reason}});
-        owner_.events_.post(delegator_lost{number_});
+        owner().events_.post(delegator_lost{number_});
     }
 
     link_number number_;
--- a/packages/daemon/src/kept/connection_group.cpp
+++ b/packages/daemon/src/kept/connection_group.cpp
@@ -26,9 +26,8 @@
 
 void connection_group::on_tick(time_point now)
 {
-    // By index: an answer may add connections.
-    for (std::size_t n = 0; n < connections_.size(); ++n) {
-        connections_[n]->on_tick(now);
+    for (kept_connection& it : connections_) {
+        it.on_tick(now);
     }
     while (!waiting_.empty() && waiting_.front().give_up_at <= now) {
         const waiting_call call = std::move(waiting_.front());
@@ -43,26 +42,25 @@
          const waiting_call& it : dropped) {
         it.handle({.error = exchange_error::broken});
     }
-    for (std::size_t n = 0; n < connections_.size(); ++n) {
-        connections_[n]->close();
+    for (kept_connection& it : connections_) {
+        it.close();
     }
 }
 
 kept_connection* connection_group::free_connection()
 {
     kept_connection* found = nullptr;
-    for (const auto& it : connections_) {
-        if (!it->idle()) {
+    for (kept_connection& it : connections_) {
+        if (!it.idle()) {
             continue;
         }
-        if (it->open()) {
-            return it.get();
+        if (it.open()) {
+            return &it;
         }
-        found = it.get();
+        found = &it;
     }
     if (found == nullptr && connections_.size() < most_connections_) {
-        connections_.push_back(std::make_unique<kept_connection>(address_, limits_));
-        found = connections_.back().get();
+        found = &connections_.emplace_back(address_, limits_);
     }
     return found;
 }
