--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -51,7 +51,6 @@
     std::uint32_t failures = 0;
     std::uint64_t last_run = 0; ///< highest number that was used
     worker_id avoid;            ///< where the last run did not succeed
-    time_point not_before{};    ///< the former run may go on until then
 
     auto operator<=>(const task_state&) const = default;
 };
@@ -78,7 +77,6 @@
     running,  ///< the worker has it
     stopping, ///< the stop is not answered
     barred,   ///< the stop was answered; the worker rejects it from then on
-    lost,     ///< nothing more is sent; it is over when the lease has lapsed
 };
 
 /// One run that is not known to be over.
@@ -91,7 +89,6 @@
     time_point settled_at = no_deadline; ///< the worker answered for it: from here reports show it
     time_point progress_at{};            ///< last time that its progress rose
     std::uint32_t percent = 0;
-    bool retry = true; ///< its task goes back to the queue when it is over
 
     auto operator<=>(const run_state&) const = default;
 };
@@ -114,7 +111,6 @@
 /// What a queue's tasks were seen to take.
 struct queue_statistics {
     double run_time_factor = 1; ///< measured over declared run time
-    std::uint32_t samples = 0;
 
     auto operator<=>(const queue_statistics&) const = default;
 };
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -243,9 +243,6 @@
         }
     }
     for (const run_name& it : active) {
-        run_state run = *board.runs.find(it);
-        run.retry = false;
-        put_run(it, run);
         stop(board, it, now);
     }
     if (active.empty()) {
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -29,6 +29,17 @@
 constexpr double smallest_ratio = 0.2;
 constexpr double largest_ratio = 5;
 
+/// Runs at a worker that are not known to be over.
+std::vector<run_name> runs_at(const job_board& board, const worker_id& at)
+{
+    std::vector<run_name> found;
+    for (auto it = board.runs_by_worker.lower_bound({.at = at});
+         it != board.runs_by_worker.end() && it->key.at == at; ++it) {
+        found.push_back(it->key.run);
+    }
+    return found;
+}
+
 } // namespace
 
 bool dispatch_controller::start(job_board& board, const task_ref& task, time_point now)
@@ -198,9 +209,7 @@
         progress(board, it.name, it.percent, received.sent_at, now);
     }
     std::vector<run_name> missing;
-    for (auto it = board.runs_by_worker.lower_bound({.at = received.at});
-         it != board.runs_by_worker.end() && it->key.at == received.at; ++it) {
-        const run_name& name = it->key.run;
+    for (const run_name& name : runs_at(board, received.at)) {
         const run_state* run = board.runs.find(name);
         if (run->settled_at >= received.sent_at) {
             continue;
@@ -355,12 +364,7 @@
 
 void dispatch_controller::lose_worker(job_board& board, const worker_id& at, time_point now)
 {
-    std::vector<run_name> lost;
-    for (auto it = board.runs_by_worker.lower_bound({.at = at});
-         it != board.runs_by_worker.end() && it->key.at == at; ++it) {
-        lost.push_back(it->key.run);
-    }
-    for (const run_name& it : lost) {
+    for (const run_name& it : runs_at(board, at)) {
         const run_state* run = board.runs.find(it);
         if (run == nullptr) {
             continue;
@@ -373,12 +377,7 @@
 
 void dispatch_controller::empty_worker(job_board& board, const worker_id& at, time_point now)
 {
-    std::vector<run_name> lost;
-    for (auto it = board.runs_by_worker.lower_bound({.at = at});
-         it != board.runs_by_worker.end() && it->key.at == at; ++it) {
-        lost.push_back(it->key.run);
-    }
-    for (const run_name& it : lost) {
+    for (const run_name& it : runs_at(board, at)) {
         over(board, it, run_end::lapsed, now);
     }
 }
@@ -414,7 +413,6 @@
     queue_statistics next = known == nullptr ? queue_statistics() : *known;
     board.raised.post(run_timed{run.at, ratio / next.run_time_factor});
     next.run_time_factor += statistics_weight * (ratio - next.run_time_factor);
-    ++next.samples;
     statistics_.put(queue, next);
 }
 
--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/daemon/kept/request_server.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/kept/http_status_code.hpp"
 #include "papayafall/daemon/kept/socket_options.hpp"
 #include "papayafall/platform/clock/clock_source.hpp"
 
@@ -17,7 +18,6 @@
 
 /// Connections that wait to be accepted.
 constexpr int listen_backlog = 512;
-constexpr std::uint16_t bad_request = 400;
 
 } // namespace
 
@@ -89,7 +89,7 @@
             owner_.handler_.on_request(*call_, *request);
         } catch (const message_error&) {
             keep_alive_ = false;
-            answer({.status = bad_request});
+            answer({.status = http_status_code::bad_request});
         }
     }
 
