Leave a cell to its holder until all hosts are listed

Seen: unit-whole_path (a_graceful_stop_hands_the_workers_over), once in a plain run and 29 of 60 times ten at a time: a caller was answered 502. The log shows that the second host claimed the cell 3 ms after its start, though the first one lived: claims are listed before hosts, the control thread had the one and not yet the other, and the store counted as reached with the first page of any list. So every host that started could take a cell from a living holder and interrupt its jobs.

Ruled out: a false suspension (mended before, failures stayed), lost links (none in the log).

One host holds all of them up to 64 workers, and one more for each further 64, as long as there are hosts of like strength; - load is told to other hosts while there is some or when it changes; a host that is neither listed nor linked for 10 s is not called any more (disconnect_peer had no poster).

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -25,6 +25,7 @@
     incarnation_id incarnation;
     endpoint link; ///< where it accepts peers (TCP)
     std::vector<zone_name> zones;
+    std::int64_t cpu_millis = 0; ///< thousandths of a core that it may use; 0 is not known
 
     auto operator<=>(const dispatcher_identity&) const = default;
 };
@@ -39,6 +40,9 @@
     auto operator<=>(const job_parameters&) const = default;
 };
 
+/// Name of one of the cells of a zone.
+cell_id cell_named(const zone_name& zone, std::uint32_t number);
+
 /// Where the controllers of the job dispatcher read and write.
 ///
 /// Each section holds immutable values and has one writer, named beside it. Every controller reads
@@ -67,6 +71,7 @@
     // written by peer_controller
     table<host_name, peer_state> peers;
     cell<time_point> load_due;
+    cell<load_report> told_load; ///< as last told to the other hosts
 
     // written by cell_controller
     table<cell_id, held_cell> cells;
--- a/packages/core/include/papayafall/core/jobs/controllers/cell_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/cell_controller.hpp
@@ -19,7 +19,7 @@
     void on_tick(job_board& board, const clock_reading& now) override;
 
   private:
-    void review(job_board& board, const cell_id& cell, const zone_name& zone, time_point now);
+    void review(job_board& board, const zone_name& zone, std::uint32_t number, time_point now);
     void claim(job_board& board, const cell_id& cell, const claim_state* known, time_point now);
     void granted(job_board& board, const cell_id& cell, store_revision revision, time_point now);
     void seen_claim(job_board& board, const cell_id& cell, const cell_claim& claim, time_point now);
--- a/packages/core/include/papayafall/core/jobs/values/membership.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/membership.hpp
@@ -14,6 +14,7 @@
     incarnation_id incarnation;
     endpoint link; ///< where it accepts peers (TCP)
     bool leaving = false;
+    std::int64_t cpu_millis = 0; ///< thousandths of a core that it may use; 0 is not known
 
     auto operator<=>(const host_entry&) const = default;
 };
--- a/packages/core/src/jobs/board/job_board.cpp
+++ b/packages/core/src/jobs/board/job_board.cpp
@@ -40,7 +40,12 @@
 cell_id job_board::cell_of(const worker_fields& it) const
 {
     const std::uint64_t number = stable_hash(it.id.text()) % parameters.cells_per_zone;
-    return cell_id(it.zone.text() + "/" + std::to_string(number));
+    return cell_named(it.zone, static_cast<std::uint32_t>(number));
+}
+
+cell_id cell_named(const zone_name& zone, std::uint32_t number)
+{
+    return cell_id(zone.text() + "/" + std::to_string(number));
 }
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <functional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -21,8 +23,14 @@
 /// Time that hosts of other zones give those of the cell's own zone. It is longer than the workers
 /// of a zone that is cut off stay listed, since those could not be reached either.
 constexpr duration foreign_delay = milliseconds(6000);
-/// Time that a host of the cell's zone lives before it asks a foreign holder for the cell.
+/// Time that a better placed host lives before it asks the holder for the cell.
 constexpr duration return_delay = milliseconds(1000);
+/// Processor time of a host over that of another from which it counts as stronger.
+constexpr std::int64_t stronger_factor = 2;
+/// Workers from which on the cells of a zone are shared by a further host.
+constexpr std::ptrdiff_t workers_per_holder = 64;
+/// Time that the holder of a listed claim has to be listed itself.
+constexpr duration listing_delay = milliseconds(300);
 /// Time after which a claim without an answer is sent again.
 constexpr duration claim_timeout = milliseconds(1500);
 /// Time that a former holder has for the runs on workers that it releases.
@@ -51,33 +59,102 @@
     return entry != nullptr && entry->leaving;
 }
 
-/// Where this host stands among those that may claim a cell.
-struct claim_turn {
-    std::size_t position = 0;
-    bool foreign = false; ///< hosts of the cell's zone go first
+/// A host that may claim cells. Hosts with more processor time go first; a hash orders the others.
+struct host_rank {
+    std::int64_t cpu_millis = 0;
+    std::uint64_t weight = 0;
+    host_name host;
 
-    auto operator<=>(const claim_turn&) const = default;
+    auto operator<=>(const host_rank&) const = default;
 };
 
-claim_turn turn_of(const job_board& board, const cell_id& cell, const zone_name& zone)
+/// Who should have the cells of a zone.
+struct zone_plan {
+    std::vector<host_rank> ranks; ///< hosts that may claim, in the order in which they do
+    std::size_t sharing = 1;      ///< hosts at the front of it that share the cells
+    bool foreign = false;         ///< the zone has hosts of its own, and this is none of them
+
+    auto operator<=>(const zone_plan&) const = default;
+
+    const host_name& preferred(std::uint32_t cell) const { return ranks[cell % sharing].host; }
+
+    /// Hosts that go before `host` for a cell.
+    std::size_t position(const host_name& host, std::uint32_t cell) const
+    {
+        const auto found = std::find_if(ranks.begin(), ranks.end(),
+                                        [&](const host_rank& it) { return it.host == host; });
+        const auto rank = static_cast<std::size_t>(found - ranks.begin());
+        return rank < sharing ? (rank + sharing - cell % sharing) % sharing : rank;
+    }
+};
+
+/// The more workers a zone has, the more hosts share its cells; much weaker ones are left out.
+std::size_t sharing_hosts(const job_board& board, const zone_name& zone,
+                          const std::vector<host_rank>& ranks)
+{
+    const auto workers = std::count_if(board.workers.begin(), board.workers.end(),
+                                       [&](const auto& it) { return (*it.value).zone == zone; });
+    const auto strong = std::count_if(ranks.begin(), ranks.end(), [&](const host_rank& it) {
+        return it.cpu_millis * stronger_factor > ranks.front().cpu_millis;
+    });
+    const auto wanted = (workers + workers_per_holder - 1) / workers_per_holder;
+    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, std::min(wanted, strong)));
+}
+
+zone_plan plan_of(const job_board& board, const zone_name& zone)
 {
     const bool own_zone = zone == board.self.zone;
-    const std::uint64_t weight = rendezvous_weight(board.self.host, cell.text());
-    claim_turn turn;
+    zone_plan plan;
+    const auto add = [&](const host_name& host, std::int64_t cpu_millis) {
+        plan.ranks.push_back({cpu_millis, rendezvous_weight(host, zone.text()), host});
+    };
+    add(board.self.host, board.self.cpu_millis);
     for (const auto& it : board.hosts) {
         const host_entry& entry = it.value;
         if (entry.host == board.self.host || entry.leaving) {
             continue;
         }
-        if (entry.zone == zone && !own_zone) {
-            turn.foreign = true;
-        }
-        if ((entry.zone == zone) == own_zone &&
-            rendezvous_weight(entry.host, cell.text()) > weight) {
-            ++turn.position;
+        if ((entry.zone == zone) == own_zone) {
+            add(entry.host, entry.cpu_millis);
+        } else if (!own_zone) {
+            plan.foreign = true;
         }
     }
-    return turn;
+    std::sort(plan.ranks.begin(), plan.ranks.end(), std::greater<>());
+    plan.sharing = sharing_hosts(board, zone, plan.ranks);
+    return plan;
+}
+
+/// Cells of a zone that a host has, by the claims in the store.
+std::size_t cells_of(const job_board& board, const host_name& host, const zone_name& zone)
+{
+    std::size_t n = 0;
+    for (std::uint32_t number = 0; number < board.parameters.cells_per_zone; ++number) {
+        const claim_state* known = board.claims.find(cell_named(zone, number));
+        n += known != nullptr && known->listed && known->claim.holder == host ? 1 : 0;
+    }
+    return n;
+}
+
+/// Whether this host should ask the living holder of a cell of its zone for it.
+bool is_better_placed(const job_board& board, const host_entry& holder, const zone_plan& plan,
+                      std::uint32_t number)
+{
+    const zone_name& zone = board.self.zone;
+    if (holder.zone != zone) {
+        return true;
+    }
+    const bool preferred = plan.preferred(number) == board.self.host;
+    if (preferred && holder.cpu_millis > 0 &&
+        board.self.cpu_millis >= stronger_factor * holder.cpu_millis) {
+        return true;
+    }
+    const std::size_t own = cells_of(board, board.self.host, zone);
+    const std::size_t theirs = cells_of(board, holder.host, zone);
+    if (plan.sharing > 1) {
+        return preferred && theirs >= own + 2;
+    }
+    return own > theirs || (own == theirs && own > 0 && preferred);
 }
 
 bool has_workers(const job_board& board, const cell_id& cell)
@@ -139,14 +216,15 @@
     }
     for (const zone_name& zone : board.self.zones) {
         for (std::uint32_t n = 0; n < board.parameters.cells_per_zone; ++n) {
-            review(board, cell_id(zone.text() + "/" + std::to_string(n)), zone, now.steady);
+            review(board, zone, n, now.steady);
         }
     }
 }
 
-void cell_controller::review(job_board& board, const cell_id& cell, const zone_name& zone,
+void cell_controller::review(job_board& board, const zone_name& zone, std::uint32_t number,
                              time_point now)
 {
+    const cell_id cell = cell_named(zone, number);
     if (const pending_claim* sent = board.pending_claims.find(cell);
         sent != nullptr && now < sent->sent_at + claim_timeout) {
         return;
@@ -166,7 +244,7 @@
         claim(board, cell, known, now);
         return;
     }
-    const claim_turn turn = turn_of(board, cell, zone);
+    const bool own_zone = zone == board.self.zone;
     time_point since = board.lifecycle->store_back_at;
     bool leaving = false;
     if (known != nullptr) {
@@ -174,19 +252,22 @@
         if (is_alive(board, known->claim)) {
             leaving = is_leaving(board, known->claim.holder);
             const host_entry* holder = board.hosts.find(known->claim.holder);
-            const bool comes_home = zone == board.self.zone && holder != nullptr &&
-                                    holder->zone != zone && now >= since + return_delay;
-            if (!leaving && !comes_home) {
+            const bool asks = own_zone && holder != nullptr && now >= since + return_delay &&
+                              is_better_placed(board, *holder, plan_of(board, zone), number);
+            if (!leaving && !asks) {
                 return;
             }
+        } else if (known->listed) {
+            since += listing_delay;
         }
     }
-    const bool own_zone = zone == board.self.zone;
-    if (!own_zone && (turn.foreign || !has_workers(board, cell))) {
+    const zone_plan plan = plan_of(board, zone);
+    if (plan.foreign || (!own_zone && !has_workers(board, cell))) {
         return;
     }
-    const duration delay = claim_stagger * static_cast<std::int64_t>(turn.position) +
-                           (own_zone || leaving ? duration{} : foreign_delay);
+    const auto position = static_cast<std::int64_t>(plan.position(board.self.host, number));
+    const duration delay =
+        claim_stagger * position + (own_zone || leaving ? duration{} : foreign_delay);
     if (now >= since + delay) {
         claim(board, cell, known, now);
     }
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <variant>
+#include <vector>
 
 namespace papayafall::jobs {
 
@@ -9,6 +10,8 @@
 
 /// Time between two load reports.
 constexpr duration load_period = std::chrono::milliseconds(100);
+/// Time without a link after which a host that the store does not list is given up.
+constexpr duration forget_delay = std::chrono::seconds(10);
 
 } // namespace
 
@@ -38,7 +41,8 @@
 }
 
 peer_controller::peer_controller(job_board& board)
-    : peers_(board.peers.claim()), load_due_(board.load_due.claim())
+    : peers_(board.peers.claim()), load_due_(board.load_due.claim()),
+      told_load_(board.told_load.claim())
 {
 }
 
@@ -46,7 +50,7 @@
                                const clock_reading& now)
 {
     if (const auto* it = std::get_if<host_listed>(&incoming)) {
-        list(board, it->entry);
+        list(board, it->entry, now.steady);
     }
     if (const auto* it = std::get_if<peer_connected>(&incoming)) {
         peers_.put(it->host,
@@ -90,14 +94,38 @@
         return;
     }
     load_due_.put(now.steady + load_period);
-    board.outbox.post(publish_load{own_load(board)});
+    const load_report load = own_load(board);
+    if (load.accepting || *board.told_load != load) {
+        told_load_.put(load);
+        board.outbox.post(publish_load{load});
+    }
+    forget_gone(board, now.steady);
+}
+
+void peer_controller::forget_gone(job_board& board, time_point now)
+{
+    std::vector<host_name> gone;
+    for (const auto& it : board.peers) {
+        if (!it.value.connected && !board.hosts.contains(it.key) &&
+            now >= it.value.changed_at + forget_delay) {
+            gone.push_back(it.key);
+        }
+    }
+    for (const host_name& it : gone) {
+        peers_.erase(it);
+        board.outbox.post(disconnect_peer{it});
+        board.outbox.post(log_decision{"peer_forgotten", it.text(), {}});
+    }
 }
 
-void peer_controller::list(job_board& board, const host_entry& entry)
+void peer_controller::list(job_board& board, const host_entry& entry, time_point now)
 {
     if (entry.host == board.self.host) {
         return;
     }
+    if (!board.peers.contains(entry.host)) {
+        peers_.put(entry.host, {.changed_at = now});
+    }
     board.outbox.post(connect_peer{entry});
 }
 
--- a/packages/core/tests/support/job_fixture.hpp
+++ b/packages/core/tests/support/job_fixture.hpp
@@ -15,11 +15,14 @@
 /// One job dispatcher, `entry-1` of `zone-a`, with a queue `/check/` at `desk.example`.
 class job_fixture {
   public:
+    static constexpr std::int64_t cpu_millis = 400;
+
     job_fixture()
         : engine_(jobs::make_job_engine({.host = host_name("entry-1"),
                                          .zone = zone_name("zone-a"),
                                          .incarnation = incarnation_id(1),
-                                         .zones = {zone_name("zone-a"), zone_name("zone-b")}},
+                                         .zones = {zone_name("zone-a"), zone_name("zone-b")},
+                                         .cpu_millis = cpu_millis},
                                         jobs::job_parameters(), jobs::standard_job_policies()))
     {
     }
--- a/packages/wire/include/papayafall/wire/configuration/json_reader.hpp
+++ b/packages/wire/include/papayafall/wire/configuration/json_reader.hpp
@@ -49,6 +49,10 @@
     std::optional<std::uint64_t> optional_number(const std::string& key, std::uint64_t min,
                                                  std::uint64_t max);
 
+    /// Number of `key` with or without a fraction, or nothing where it is missing.
+    /// @throws configuration_error when it is outside of [min, max]
+    std::optional<double> optional_decimal(const std::string& key, double min, double max);
+
     /// As `number`, with the range of `Number` from `min` on.
     template <typename Number>
     Number number_of(const std::string& key, Number fallback, std::uint64_t min = 0)
--- a/packages/wire/src/configuration/json_reader.cpp
+++ b/packages/wire/src/configuration/json_reader.cpp
@@ -121,6 +121,22 @@
     return n;
 }
 
+std::optional<double> json_reader::optional_decimal(const std::string& key, double min, double max)
+{
+    const nlohmann::json* it = child(key);
+    if (it == nullptr) {
+        return std::nullopt;
+    }
+    if (!it->is_number()) {
+        fail(key, "a number is expected");
+    }
+    const auto n = it->get<double>();
+    if (!(n >= min && n <= max)) {
+        fail(key, "the value is outside of " + std::to_string(min) + " to " + std::to_string(max));
+    }
+    return n;
+}
+
 std::string json_reader::path_of(const std::string& key) const
 {
     return path_ + "/" + escape(key);
