Random runs of the job dispatcher, and what they found

random-job-runs plays several cores with models of workers (one lease by a clock of their own, numbered ends, token and run numbers, late execution, a new life under the same id), store, links and callers under kills, suspensions, cuts, revoked leases, crashes and graceful stops, and checks what callers and workers see: no two runs of a task at the same time, nothing over the room of a worker, no start out of order or of a refused job, every attempt answered, no run left over.

Links now measure silence by the clock that goes on in a suspension, and look before they read.

a_reborn_worker_runs_nothing_of_before reports 10 ms after the start now: a report that was asked for at the instant of the start's answer tells nothing of it.

--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -64,7 +64,8 @@
     void task_done(job_board& board, const run_state& run, time_point now);
     void task_failed(job_board& board, const run_state& run, time_point now);
     void lose_worker(job_board& board, const worker_id& at, time_point now);
-    void empty_worker(job_board& board, const worker_id& at, time_point now);
+    void empty_worker(job_board& board, const worker_id& at, time_point ordered_before,
+                      time_point now);
 
     void put_run(const run_name& name, const run_state& run);
     void occupy(job_board& board, const run_state& run, bool added);
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -175,6 +175,7 @@
     worker_id at;
     fencing_token token;
     call_failure reason = call_failure::broken;
+    time_point sent_at{};
     bool waited = false;
 };
 
@@ -218,9 +219,17 @@
     double ratio = 1; ///< measured over expected run time
 };
 
-/// No run of this host goes on at the worker: its process is gone or every lease has lapsed.
+/// No run that this host ordered earlier goes on at the worker: its process is gone, or every lease
+/// has lapsed.
 struct worker_emptied {
     worker_id at;
+    time_point ordered_before{};
+};
+
+/// The worker started again under the same name. What it reports from now on tells which runs go
+/// on.
+struct worker_reborn {
+    worker_id at;
 };
 
 /// Another host took the worker over, or this host gave it up with runs on it.
@@ -252,7 +261,7 @@
                  load_reported, delegation_answered, delegation_received, delegation_withdrawn,
                  delegator_lost, worker_released, start_answered, stop_answered, report_received,
                  report_failed, stop_requested, process_resumed, stop_due, cell_acquired, cell_lost,
-                 run_over, run_stalled, run_timed, worker_emptied, worker_lost, job_over,
-                 job_delegated, lease_extended>;
+                 run_over, run_stalled, run_timed, worker_emptied, worker_reborn, worker_lost,
+                 job_over, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -71,7 +71,10 @@
         reconcile(board, *it, now.steady);
     }
     if (const auto* it = std::get_if<run_over>(&incoming)) {
-        over(board, it->run, it->how, now.steady);
+        // A job that came again uses the same names for runs on other workers.
+        if (const run_state* run = board.runs.find(it->run); run != nullptr && run->at == it->at) {
+            over(board, it->run, it->how, now.steady);
+        }
     }
     if (const auto* it = std::get_if<start_answered>(&incoming)) {
         start_answer(board, *it, now.steady);
@@ -92,7 +95,7 @@
         lose_worker(board, it->at, now.steady);
     }
     if (const auto* it = std::get_if<worker_emptied>(&incoming)) {
-        empty_worker(board, it->at, now.steady);
+        empty_worker(board, it->at, it->ordered_before, now.steady);
     } else if (std::holds_alternative<process_resumed>(incoming) ||
                std::holds_alternative<stop_due>(incoming)) {
         drop_everything(board, now.steady);
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -206,7 +206,10 @@
     }
     const worker_report& report = received.report;
     for (const running_run& it : report.running) {
-        progress(board, it.name, it.percent, received.sent_at, now);
+        if (const run_state* run = board.runs.find(it.name);
+            run != nullptr && run->at == received.at) {
+            progress(board, it.name, it.percent, received.sent_at, now);
+        }
     }
     std::vector<run_name> missing;
     for (const run_name& name : runs_at(board, received.at)) {
@@ -231,11 +234,7 @@
 void dispatch_controller::progress(job_board& board, const run_name& name, std::uint32_t percent,
                                    time_point report_sent_at, time_point now)
 {
-    const run_state* found = board.runs.find(name);
-    if (found == nullptr) {
-        return;
-    }
-    run_state run = *found;
+    run_state run = *board.runs.find(name);
     if (run.phase == run_phase::ordered) {
         run.phase = run_phase::running;
         run.settled_at = now;
@@ -375,9 +374,13 @@
     }
 }
 
-void dispatch_controller::empty_worker(job_board& board, const worker_id& at, time_point now)
+void dispatch_controller::empty_worker(job_board& board, const worker_id& at,
+                                       time_point ordered_before, time_point now)
 {
     for (const run_name& it : runs_at(board, at)) {
+        if (board.runs.find(it)->ordered_at >= ordered_before) {
+            continue;
+        }
         over(board, it, run_end::lapsed, now);
     }
 }
--- a/packages/core/src/jobs/controllers/health_controller.cpp
+++ b/packages/core/src/jobs/controllers/health_controller.cpp
@@ -73,6 +73,9 @@
     if (const auto* it = std::get_if<worker_emptied>(&incoming)) {
         health_.erase(it->at);
     }
+    if (const auto* it = std::get_if<worker_reborn>(&incoming)) {
+        health_.erase(it->at);
+    }
 }
 
 void health_controller::on_tick(job_board& /*board*/, const clock_reading& /*now*/) {}
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -26,6 +26,12 @@
 /// Time between two attempts to reach a worker.
 constexpr duration retry_delay = milliseconds(200);
 
+/// Session with a worker that started again. An order may have reached its new life already.
+worker_session next_life_of(const worker_session& former)
+{
+    return {.cell = former.cell, .token = former.token, .lapsed_at = former.lapsed_at};
+}
+
 } // namespace
 
 worker_address address_of(const job_board& board, const worker_id& id,
@@ -156,8 +162,8 @@
     const worker_session* known = board.sessions.find(entry->id);
     if (known != nullptr) {
         if (known->born != 0 && entry->born != 0 && known->born < entry->born) {
-            board.raised.post(worker_emptied{entry->id});
-            look(board, entry->id, {.cell = known->cell, .token = known->token}, now);
+            board.raised.post(worker_reborn{entry->id});
+            look(board, entry->id, next_life_of(*known), now);
         }
         return;
     }
@@ -199,10 +205,10 @@
         if (report.born < session.born) {
             return;
         }
-        board.raised.post(worker_emptied{received.at});
+        board.raised.post(worker_reborn{received.at});
         board.outbox.post(log_decision{
             "worker_reborn", received.at.text(), {{"born", std::to_string(report.born)}}});
-        session = {.cell = session.cell, .token = session.token};
+        session = next_life_of(session);
     }
     session.born = report.born != 0 ? report.born : session.born;
     session.clock = report.clock;
@@ -253,12 +259,15 @@
         if (failed.token == session.token) {
             board.raised.post(worker_lost{failed.at});
             close(board, failed.at);
+            return;
         }
+        // The call was older than this host's own new token.
+        sessions_.put(failed.at, std::move(session));
         return;
     }
     const bool gone = failed.reason == call_failure::refused;
     if (gone) {
-        board.raised.post(worker_emptied{failed.at});
+        board.raised.post(worker_emptied{failed.at, failed.sent_at});
     }
     if (session.phase == session_phase::ready) {
         board.outbox.post(log_decision{
@@ -319,7 +328,7 @@
     const bool busy = load != nullptr && load->runs > 0;
     if (entry == nullptr || session.phase == session_phase::unreachable) {
         if (busy && now >= session.lapsed_at) {
-            board.raised.post(worker_emptied{id});
+            board.raised.post(worker_emptied{id, now});
         }
         if (entry == nullptr && !busy) {
             close(board, id);
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -19,10 +19,13 @@
     CPPUNIT_TEST(an_unreachable_worker_is_waited_out);
     CPPUNIT_TEST(a_crashed_worker_frees_its_tasks_at_once);
     CPPUNIT_TEST(a_reborn_worker_runs_nothing_of_before);
+    CPPUNIT_TEST(a_start_that_reached_the_next_life_of_a_worker_goes_on);
+    CPPUNIT_TEST(a_refused_connection_says_nothing_of_later_orders);
     CPPUNIT_TEST(a_stalled_run_is_stopped_and_started_elsewhere);
     CPPUNIT_TEST(a_caller_that_leaves_has_its_runs_stopped);
     CPPUNIT_TEST(a_lost_delegating_link_stops_its_jobs);
     CPPUNIT_TEST(a_resubmitted_job_waits_until_the_former_runs_are_over);
+    CPPUNIT_TEST(an_end_of_the_same_name_elsewhere_changes_nothing);
     CPPUNIT_TEST(a_draining_worker_gets_nothing_new);
     CPPUNIT_TEST(a_job_without_room_is_refused_early);
     CPPUNIT_TEST(kinds_that_are_not_served_are_refused);
@@ -116,8 +119,8 @@
         const auto first = submit(1, 1);
         fixture_->accept(first[0]);
         const time_point asked = fixture_->now();
-        fixture_->deliver(
-            report_failed{first[0].to.id, first[0].to.token, call_failure::timed_out, true});
+        fixture_->deliver(report_failed{first[0].to.id, first[0].to.token, call_failure::timed_out,
+                                        fixture_->now(), true});
         fixture_->pass(milliseconds(900));
         CPPUNIT_ASSERT(fixture_->take<start_run>().empty());
         fixture_->pass(milliseconds(500));
@@ -130,8 +133,9 @@
     {
         const auto first = submit(1, 1);
         fixture_->accept(first[0]);
-        fixture_->deliver(
-            report_failed{first[0].to.id, first[0].to.token, call_failure::refused, true});
+        fixture_->pass(milliseconds(10));
+        fixture_->deliver(report_failed{first[0].to.id, first[0].to.token, call_failure::refused,
+                                        fixture_->now(), true});
         const auto second = fixture_->take<start_run>();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
         CPPUNIT_ASSERT(second[0].to.id != first[0].to.id);
@@ -141,10 +145,34 @@
     {
         const auto first = submit(1, 1);
         fixture_->accept(first[0]);
+        fixture_->pass(milliseconds(10));
         fixture_->report(first[0].to.id.text(), {.born = 2000}, true);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take<start_run>().size());
     }
 
+    void a_start_that_reached_the_next_life_of_a_worker_goes_on()
+    {
+        const auto first = submit(1, 1);
+        fixture_->accept(first[0]);
+        fixture_->pass(milliseconds(10));
+        worker_report told{.born = 2000};
+        told.running.push_back({.name = first[0].run});
+        fixture_->report(first[0].to.id.text(), told, true);
+        CPPUNIT_ASSERT(fixture_->board().runs.contains(first[0].run));
+        CPPUNIT_ASSERT(fixture_->take<start_run>().empty());
+    }
+
+    void a_refused_connection_says_nothing_of_later_orders()
+    {
+        const time_point asked = fixture_->now();
+        fixture_->pass(milliseconds(10));
+        const auto first = submit(1, 1);
+        fixture_->deliver(
+            report_failed{first[0].to.id, first[0].to.token, call_failure::refused, asked, true});
+        CPPUNIT_ASSERT(fixture_->board().runs.contains(first[0].run));
+        CPPUNIT_ASSERT(fixture_->take<start_run>().empty());
+    }
+
     void a_stalled_run_is_stopped_and_started_elsewhere()
     {
         const auto first = submit(1, 1);
@@ -200,6 +228,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take<start_run>().size());
     }
 
+    void an_end_of_the_same_name_elsewhere_changes_nothing()
+    {
+        fixture_->hold_cell();
+        fixture_->add_worker("w-1");
+        fixture_->submit(1, job_fixture::job("00000000000000a1"));
+        const auto starts = fixture_->take<start_run>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+        fixture_->accept(starts[0]);
+        fixture_->add_worker("w-2");
+        worker_report told;
+        told.ended.push_back({.number = 1, .name = starts[0].run, .how = run_end::lapsed});
+        fixture_->report("w-2", told);
+        CPPUNIT_ASSERT(fixture_->board().runs.contains(starts[0].run));
+        CPPUNIT_ASSERT(fixture_->take<start_run>().empty());
+    }
+
     void a_draining_worker_gets_nothing_new()
     {
         for (const char* it : {"w-1", "w-2"}) {
--- a/packages/core/tests/jobs/unit-worker_cells.cpp
+++ b/packages/core/tests/jobs/unit-worker_cells.cpp
@@ -16,14 +16,19 @@
     CPPUNIT_TEST_SUITE(worker_cells_test);
     CPPUNIT_TEST(an_unclaimed_cell_is_claimed);
     CPPUNIT_TEST(a_cell_of_a_living_holder_is_left_alone);
+    CPPUNIT_TEST(a_cell_is_left_to_a_holder_that_is_listed_later);
     CPPUNIT_TEST(a_lapsed_claim_of_a_linked_holder_is_left_alone);
     CPPUNIT_TEST(a_cell_of_a_dead_holder_is_taken_over);
     CPPUNIT_TEST(a_restarted_host_takes_its_cell_back_at_once);
     CPPUNIT_TEST(a_cell_of_another_zone_is_left_to_its_own_hosts);
     CPPUNIT_TEST(runs_of_a_former_holder_are_stopped_before_a_lease_is_extended);
+    CPPUNIT_TEST(a_stronger_host_asks_a_weak_holder_for_the_cell);
+    CPPUNIT_TEST(an_equal_host_leaves_the_cell_to_its_holder);
+    CPPUNIT_TEST(the_strongest_host_claims_first);
     CPPUNIT_TEST(a_fenced_holder_gives_the_cell_up);
     CPPUNIT_TEST(a_holder_without_the_store_goes_on);
     CPPUNIT_TEST(a_lapsed_claim_is_renewed_with_a_higher_token);
+    CPPUNIT_TEST(a_report_that_the_own_new_token_fenced_is_asked_for_again);
     CPPUNIT_TEST(workers_go_over_as_their_runs_end);
     CPPUNIT_TEST(an_heir_waits_for_the_release);
     CPPUNIT_TEST(workers_that_vanish_with_the_store_get_time_to_return);
@@ -50,6 +55,19 @@
         CPPUNIT_ASSERT(fixture_->take<claim_cell>().empty());
     }
 
+    void a_cell_is_left_to_a_holder_that_is_listed_later()
+    {
+        list_self();
+        fixture_->deliver(claim_listed{
+            job_fixture::cell(),
+            {.holder = other_host, .incarnation = other_life, .revision = store_revision(3)}});
+        fixture_->pass(milliseconds(250));
+        fixture_->deliver(host_listed{
+            {.host = other_host, .zone = zone_name("zone-a"), .incarnation = other_life}});
+        fixture_->pass(std::chrono::seconds(10));
+        CPPUNIT_ASSERT(fixture_->take<claim_cell>().empty());
+    }
+
     void a_lapsed_claim_of_a_linked_holder_is_left_alone()
     {
         other_holds(true);
@@ -124,6 +142,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take<start_run>().size());
     }
 
+    void a_stronger_host_asks_a_weak_holder_for_the_cell()
+    {
+        other_holds(true, job_fixture::cpu_millis / 4);
+        fixture_->pass(milliseconds(900));
+        CPPUNIT_ASSERT(fixture_->take<claim_cell>().empty());
+        fixture_->pass(milliseconds(300));
+        const auto claims = fixture_->take<claim_cell>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, claims.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, claims[0].expected.value());
+    }
+
+    void an_equal_host_leaves_the_cell_to_its_holder()
+    {
+        other_holds(true, job_fixture::cpu_millis);
+        fixture_->pass(std::chrono::seconds(10));
+        CPPUNIT_ASSERT(fixture_->take<claim_cell>().empty());
+    }
+
+    void the_strongest_host_claims_first()
+    {
+        for (const std::int64_t it : {job_fixture::cpu_millis / 2, job_fixture::cpu_millis * 2}) {
+            setUp();
+            fixture_->deliver(host_listed{{.host = other_host,
+                                           .zone = zone_name("zone-a"),
+                                           .incarnation = other_life,
+                                           .cpu_millis = it}});
+            list_self();
+            fixture_->pass(milliseconds(250));
+            const std::size_t expected = it < job_fixture::cpu_millis ? 1 : 0;
+            CPPUNIT_ASSERT_EQUAL(expected, fixture_->take<claim_cell>().size());
+        }
+    }
+
     void a_fenced_holder_gives_the_cell_up()
     {
         start_one();
@@ -163,6 +214,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, starts[0].to.token.value());
     }
 
+    void a_report_that_the_own_new_token_fenced_is_asked_for_again()
+    {
+        start_one();
+        fixture_->pass(milliseconds(50));
+        const auto asked = fixture_->take<fetch_report>();
+        CPPUNIT_ASSERT(!asked.empty() && asked.back().waits);
+        fixture_->deliver(claim_unlisted{job_fixture::cell()});
+        fixture_->deliver(
+            claim_answered{job_fixture::cell(), claim_result::granted, store_revision(12)});
+        fixture_->deliver(report_failed{asked.back().to.id, asked.back().to.token,
+                                        call_failure::fenced, fixture_->now(), true});
+        fixture_->pass(milliseconds(50));
+        const auto again = fixture_->take<fetch_report>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, again.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, again[0].to.token.value());
+    }
+
     void workers_go_over_as_their_runs_end()
     {
         start_one();
@@ -233,11 +301,13 @@
                                        .incarnation = incarnation_id(1)}});
     }
 
-    void other_holds(bool linked)
+    void other_holds(bool linked, std::int64_t cpu_millis = 0)
     {
         list_self();
-        fixture_->deliver(host_listed{
-            {.host = other_host, .zone = zone_name("zone-a"), .incarnation = other_life}});
+        fixture_->deliver(host_listed{{.host = other_host,
+                                       .zone = zone_name("zone-a"),
+                                       .incarnation = other_life,
+                                       .cpu_millis = cpu_millis}});
         if (linked) {
             fixture_->deliver(peer_connected{other_host, other_life});
         }
--- /dev/null
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "random/jobs/link_model.hpp"
+#include "random/jobs/store_model.hpp"
+#include "random/jobs/worker_model.hpp"
+
+#include "papayafall/core/jobs/engine/job_engine.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace papayafall::random_runs {
+
+/// Learns how the calls of callers were answered.
+class answer_sink {
+  public:
+    answer_sink() = default;
+    answer_sink(const answer_sink&) = delete;
+    answer_sink& operator=(const answer_sink&) = delete;
+    virtual ~answer_sink() = default;
+
+    virtual void on_answer(call_id call, jobs::job_outcome outcome) = 0;
+    /// The process that had the call is gone, or the connection was reset.
+    virtual void on_disconnected(call_id call) = 0;
+};
+
+class dispatcher_model;
+
+/// What all dispatchers of a run share.
+struct surroundings {
+    schedule& time;
+    dice& chance;
+    network_model& network;
+    store_model& store;
+    job_history& seen;
+    answer_sink& callers;
+    std::map<jobs::worker_id, std::unique_ptr<worker_model>>& workers;
+    std::map<host_name, std::unique_ptr<dispatcher_model>>& hosts;
+    bool& late_orders; ///< some orders get no answer and are carried out seconds later
+};
+
+/// An entry host: the real core behind models of its links, its store and its workers. Each life
+/// has an incarnation of its own; what was under way for a former life never reaches the next.
+class dispatcher_model {
+  public:
+    dispatcher_model(jobs::dispatcher_identity self, jobs::job_parameters parameters,
+                     surroundings around);
+    dispatcher_model(const dispatcher_model&) = delete;
+    dispatcher_model& operator=(const dispatcher_model&) = delete;
+    ~dispatcher_model() = default;
+
+    const std::string& name() const noexcept { return self_.host.text(); }
+
+    bool alive() const noexcept { return engine_ != nullptr; }
+
+    void start();
+    void kill();
+    void suspend(duration length);
+    /// A graceful stop; the process ends by itself.
+    void stop();
+    void submit(call_id call, const jobs::job_spec& job);
+    /// The caller's connection is gone.
+    void hang_up(call_id call);
+    /// Accepts the link of another host.
+    void accept(const std::shared_ptr<link_model>& link);
+    link_end end_of_link();
+
+  private:
+    clock_reading reading() const;
+    void deliver(const jobs::job_event& it);
+    void deliver_in(std::uint64_t life, const jobs::job_event& it);
+    void tick(std::uint64_t life);
+    void keep_store(std::uint64_t life);
+    void read_store();
+    void keep_links(std::uint64_t life);
+    void connect(const jobs::host_entry& entry);
+    void carry_out();
+
+    void act(const jobs::answer_job& it);
+    void act(const jobs::claim_cell& it);
+    void act(const jobs::release_cell& it);
+    void act(const jobs::update_host_entry& it);
+    void act(const jobs::connect_peer& it);
+    void act(const jobs::disconnect_peer& it);
+    void act(const jobs::delegate_job& it);
+    void act(const jobs::withdraw_delegation& it);
+    void act(const jobs::answer_delegation& it);
+    void act(const jobs::publish_load& it);
+    void act(const jobs::release_worker& it);
+    void act(const jobs::drop_links& it);
+    void act(const jobs::start_run& it);
+    void act(const jobs::stop_run& it);
+    void act(const jobs::fetch_report& it);
+    void act(const jobs::stop_dispatcher& it);
+    void act(const jobs::log_decision& it);
+
+    template <typename Other>
+    void act(const Other& /*it*/)
+    {
+    }
+
+    /// Calls a worker. `execute` is given a function for the answer.
+    void
+    call(const jobs::worker_id& at, time_point give_up_at, const jobs::job_event& unanswered,
+         const jobs::job_event& gone,
+         std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)> execute,
+         bool order);
+
+    jobs::dispatcher_identity self_;
+    jobs::job_parameters parameters_;
+    surroundings around_;
+    std::uint64_t life_ = 0;
+    std::unique_ptr<jobs::job_engine> engine_;
+    jobs::host_entry entry_;
+    bool suspended_ = false;
+    std::vector<jobs::job_event> backlog_;
+    std::vector<call_id> calls_;
+    std::map<std::string, store_model::item> known_; ///< of the store
+    store_model::lease_id lease_ = 0;
+    bool reached_ = false;
+    time_point contact_at_{};
+    std::map<std::string, jobs::host_entry> wanted_links_;
+    std::map<std::string, std::shared_ptr<link_model>> outgoing_;
+    std::map<jobs::link_number, std::shared_ptr<link_model>> incoming_;
+};
+
+} // namespace papayafall::random_runs
--- /dev/null
+++ b/packages/core/tests/random/seed_runs.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <exception>
+#include <functional>
+#include <iostream>
+#include <string>
+
+namespace papayafall::random_runs {
+
+/// Main function of a program that runs seeds: PROGRAM FIRST_SEED LAST_SEED [SECONDS a seed].
+/// @param run runs one seed and returns a line about it; whatever it throws is a failure
+inline int
+run_seeds(int argc, char** argv,
+          const std::function<std::string(std::uint64_t seed, std::chrono::seconds length)>& run)
+{
+    if (argc < 3) {
+        std::cerr << "usage: " << argv[0] << " FIRST_SEED LAST_SEED [SECONDS]\n";
+        return 2;
+    }
+    constexpr std::int64_t usual_seconds = 120;
+    const std::uint64_t first = std::stoull(argv[1]);
+    const std::uint64_t last = std::stoull(argv[2]);
+    const std::chrono::seconds length(argc > 3 ? std::stoll(argv[3]) : usual_seconds);
+    std::uint64_t failed = 0;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        try {
+            std::cout << "seed " << seed << ": " << run(seed, length) << std::endl;
+        } catch (const std::exception& ex) {
+            ++failed;
+            std::cout << "seed " << seed << " FAILED: " << ex.what() << std::endl;
+        }
+    }
+    std::cout << last - first + 1 - failed << " passed, " << failed << " failed\n";
+    return failed == 0 ? 0 : 1;
+}
+
+} // namespace papayafall::random_runs
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -20,7 +20,7 @@
   public:
     link(job_links& owner, QTcpSocket* socket) : owner_(owner), socket_(socket)
     {
-        heard_at_ = steady_now();
+        heard_at_ = boot_now();
         QObject::connect(socket_, &QTcpSocket::readyRead, [this] { receive(); });
         QObject::connect(
             socket_, &QTcpSocket::errorOccurred, socket_, [this] { lose("connection_ended"); },
@@ -53,7 +53,7 @@
 
     void on_tick(time_point now)
     {
-        if (now >= heard_at_ + owner_.options_.silence_limit) {
+        if (was_silent()) {
             lose("silent");
         } else if (now >= written_at_ + owner_.options_.beat_period) {
             write(link_beat{});
@@ -80,12 +80,19 @@
     virtual void on_lost(const char* reason) = 0;
 
   private:
+    /// Whether the other end takes the link as lost by now, also after this process did not run.
+    bool was_silent() const { return boot_now() >= heard_at_ + owner_.options_.silence_limit; }
+
     void receive()
     {
+        if (was_silent()) {
+            lose("silent"); // what waits here was sent before the other end gave up
+            return;
+        }
         const QByteArray received = socket_->readAll();
         received_.append(received.data(), static_cast<std::size_t>(received.size()));
         const time_point now = steady_now();
-        heard_at_ = now;
+        heard_at_ = boot_now();
         std::size_t taken = 0;
         try {
             while (!lost_) {
--- a/packages/platform/include/papayafall/platform/clock/clock_source.hpp
+++ b/packages/platform/include/papayafall/platform/clock/clock_source.hpp
@@ -24,4 +24,8 @@
 /// The instant of `std::chrono::steady_clock`, for threads that have no `clock_source`.
 time_point steady_now() noexcept;
 
+/// The instant of the clock since boot, which goes on while the machine is suspended. Comparable
+/// with its own instants only.
+time_point boot_now() noexcept;
+
 } // namespace papayafall
--- a/packages/platform/src/clock/clock_source.cpp
+++ b/packages/platform/src/clock/clock_source.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/platform/clock/clock_source.hpp"
 
 #include <chrono>
+#include <ctime>
 
 namespace papayafall {
 
@@ -16,4 +17,12 @@
     return time_point(std::chrono::duration_cast<duration>(steady));
 }
 
+time_point boot_now() noexcept
+{
+    timespec at{};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(at.tv_sec) +
+                                                           std::chrono::nanoseconds(at.tv_nsec)));
+}
+
 } // namespace papayafall
