--- a/packages/core/include/papayafall/core/jobs/values/job.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/job.hpp
@@ -59,8 +59,7 @@
     std::uint32_t priority = 0;              ///< 0 comes first
     time_point received_at;
     time_point objective_at; ///< from here on the answer counts as late
-    time_point useful_until; ///< an answer after this helps nobody
-    time_point answer_by;    ///< the caller stops waiting
+    time_point useful_until; ///< an answer after this helps nobody, or the caller has left
 
     auto operator<=>(const job_order_fields&) const = default;
 };
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -44,8 +44,8 @@
         .priority = queue.priority,
         .received_at = submitted.received_at,
         .objective_at = submitted.received_at + objective,
-        .useful_until = submitted.received_at + objective * useful_objectives,
-        .answer_by = submitted.answer_by,
+        .useful_until =
+            std::min(submitted.received_at + objective * useful_objectives, submitted.answer_by),
     };
 }
 
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(an_end_of_the_same_name_elsewhere_changes_nothing);
     CPPUNIT_TEST(a_draining_worker_gets_nothing_new);
     CPPUNIT_TEST(a_job_without_room_is_refused_early);
+    CPPUNIT_TEST(a_waiting_job_is_given_up_with_its_caller);
     CPPUNIT_TEST(kinds_that_are_not_served_are_refused);
     CPPUNIT_TEST(a_dropped_queue_of_a_forwarded_job_is_unknown);
     CPPUNIT_TEST(a_suspended_process_gives_up_what_it_held);
@@ -268,6 +269,19 @@
         }
     }
 
+    void a_waiting_job_is_given_up_with_its_caller()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, submit(1, 4).size());
+        const time_point now = fixture_->now();
+        fixture_->deliver(job_submitted{call_id(2), "desk.example", "/check/00000000000000b1",
+                                        job_fixture::job("00000000000000b1"), now,
+                                        now + milliseconds(100)});
+        fixture_->pass(milliseconds(80));
+        CPPUNIT_ASSERT(fixture_->take<answer_job>().empty());
+        fixture_->pass(milliseconds(40));
+        expect_answer(job_outcome::refused);
+    }
+
     void kinds_that_are_not_served_are_refused()
     {
         job_spec_fields it = *job_fixture::job("00000000000000a1");
--- a/packages/core/tests/random/jobs/dispatcher_model.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.cpp
@@ -454,7 +454,7 @@
 void dispatcher_model::call(
     const jobs::worker_id& at, time_point give_up_at, const jobs::job_event& unanswered,
     const jobs::job_event& gone,
-    std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)> execute,
+    const std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)>& execute,
     bool order)
 {
     constexpr std::uint64_t late_share = 20;
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -104,11 +104,11 @@
     }
 
     /// Calls a worker. `execute` is given a function for the answer.
-    void
-    call(const jobs::worker_id& at, time_point give_up_at, const jobs::job_event& unanswered,
-         const jobs::job_event& gone,
-         std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)> execute,
-         bool order);
+    void call(const jobs::worker_id& at, time_point give_up_at, const jobs::job_event& unanswered,
+              const jobs::job_event& gone,
+              const std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)>&
+                  execute,
+              bool order);
 
     jobs::dispatcher_identity self_;
     jobs::job_parameters parameters_;
--- a/packages/core/tests/random/jobs/worker_model.cpp
+++ b/packages/core/tests/random/jobs/worker_model.cpp
@@ -32,7 +32,6 @@
                            job_history& seen)
     : entry_(std::move(entry)), guards_(guards), time_(time), chance_(chance), seen_(seen)
 {
-    up_ = false;
     restart();
 }
 
@@ -103,7 +102,10 @@
     const task_key task{order.run.job, order.run.step, order.run.task};
     const auto it = runs_.find(task);
     if (it != runs_.end() && it->second.name.number <= order.run.number) {
-        end(task, jobs::run_end::stopped);
+        // It ends with the step after that, within the 50 ms that a stop may take.
+        it->second.ends_at =
+            std::min(it->second.ends_at, time_.now() + chance_.milliseconds(0, 35));
+        it->second.how = jobs::run_end::stopped;
     }
     closed_numbers_[task] = std::max(closed_numbers_[task], order.run.number);
     answer_reports();
--- a/packages/core/tests/random/jobs/worker_model.hpp
+++ b/packages/core/tests/random/jobs/worker_model.hpp
@@ -78,7 +78,7 @@
     schedule& time_;
     dice& chance_;
     job_history& seen_;
-    bool up_ = true;
+    bool up_ = false;
     std::uint64_t life_ = 0;
     time_point booted_at_{};
     std::int64_t rate_percent_ = 100; ///< of its clock
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -42,9 +42,9 @@
 void serialize(Archive& archive, job_order_fields& it)
 {
     auto& [job, queue, service, configuration_version, max_attempts, priority, received_at,
-           objective_at, useful_until, answer_by] = it;
+           objective_at, useful_until] = it;
     archive(job, queue, service, configuration_version, max_attempts, priority, received_at,
-            objective_at, useful_until, answer_by);
+            objective_at, useful_until);
 }
 
 template <typename Archive>
@@ -101,7 +101,7 @@
 
 namespace {
 
-constexpr std::uint8_t link_protocol_version = 1;
+constexpr std::uint8_t link_protocol_version = 2;
 constexpr std::size_t size_field = sizeof(std::uint32_t);
 
 template <std::size_t Index = 0>
--- a/packages/wire/tests/jobs/unit-job_message.cpp
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -32,8 +32,7 @@
                             .priority = 1,
                             .received_at = now - std::chrono::milliseconds(5),
                             .objective_at = now + std::chrono::milliseconds(100),
-                            .useful_until = now + std::chrono::milliseconds(300),
-                            .answer_by = no_deadline};
+                            .useful_until = now + std::chrono::milliseconds(300)};
 }
 
 std::vector<job_message> samples(time_point now)
