Send targets' requests over an HTTP client of sockets and one parser

Change: outbound_client reads the bytes itself, with the parser of the kept connections, and judges what has arrived before the end of the stream, whichever is signalled first. Message types, parser, status codes and socket options move from packages/daemon to packages/platform, so that both clients share them. No request is ever sent again, GET included. The network manager stays for the key-value service only.

The parser did not enforce the limit on a stated length when a byte of the body came with the header (the library overwrites its own error); oversized_answer_is_rejected failed on it.

Deeply nested JSON from another program overflowed the stack, since the library copies values recursively; a caller's body of 100,000 brackets ended the process. Such text is refused by its depth.

--- a/packages/daemon/include/papayafall/daemon/http/http_response.hpp
+++ b/packages/daemon/include/papayafall/daemon/http/http_response.hpp
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace papayafall {
 
@@ -42,7 +41,4 @@
 /// Encodes `response` as an HTTP/1.1 message.
 std::string encode_response(const http_response& response, const response_framing& framing);
 
-/// Returns the standard reason phrase of an HTTP status, or "Unknown".
-std::string_view reason_phrase(std::uint16_t status) noexcept;
-
 } // namespace papayafall
--- a/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
@@ -3,7 +3,7 @@
 #include "papayafall/core/values/host.hpp"
 #include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
-#include "papayafall/daemon/kept/http_reader.hpp"
+#include "papayafall/platform/http/http_reader.hpp"
 
 #include <QTcpServer>
 
--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -1,9 +1,9 @@
 #include "papayafall/daemon/kept/request_server.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/kept/http_status_code.hpp"
-#include "papayafall/daemon/kept/socket_options.hpp"
 #include "papayafall/platform/clock/clock_source.hpp"
+#include "papayafall/platform/http/http_status_code.hpp"
+#include "papayafall/platform/http/socket_options.hpp"
 
 #include <QHostAddress>
 #include <QTcpSocket>
--- a/packages/daemon/include/papayafall/daemon/kept/http_message.hpp
+++ b/packages/platform/include/papayafall/platform/http/http_message.hpp
@@ -17,6 +17,7 @@
     std::string method;
     std::string target; ///< path and query
     header_fields headers;
+    std::string content_type = "application/json"; ///< sent with a body only
     std::string body;
     bool keep_alive = true;
 
@@ -37,7 +38,8 @@
     auto operator<=>(const http_reply_message&) const = default;
 };
 
-/// Serializes a request; `Host`, `Content-Length` and, with a body, `Content-Type` are added.
+/// Serializes a request; `Host`, `Content-Length`, with a body `Content-Type`, and without
+/// keep-alive `Connection: close` are added.
 std::string encode_request(const http_request_message& request, std::string_view host);
 
 /// Serializes a response; `Content-Length`, with a body `Content-Type`, and without keep-alive
--- a/packages/daemon/include/papayafall/daemon/kept/http_reader.hpp
+++ b/packages/platform/include/papayafall/platform/http/http_reader.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "papayafall/daemon/kept/http_message.hpp"
+#include "papayafall/platform/http/http_message.hpp"
 
 #include <cstddef>
 #include <memory>
@@ -32,7 +32,8 @@
     void feed(std::string_view received) { unparsed_.append(received); }
 
     /// Parses the next message; empty while it is incomplete.
-    /// @throws message_error if the bytes are not a valid HTTP/1.1 message or exceed the limits
+    /// @throws message_error if the bytes are not a valid HTTP/1.1 message, exceed the limits, or
+    ///         begin a response whose body ends with the connection
     std::optional<Message> next();
 
     /// Whether bytes of a message that `next` has not returned yet have arrived.
--- a/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
@@ -3,10 +3,8 @@
 #include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
 #include "papayafall/platform/clock/clock_source.hpp"
-#include "papayafall/platform/outbound/connection_pool.hpp"
 #include "papayafall/platform/outbound/outbound_message.hpp"
 
-#include <QNetworkAccessManager>
 #include <QObject>
 #include <QTimer>
 
@@ -35,7 +33,8 @@
 struct outbound_options {
     /// Maximum size of a response body, in bytes.
     std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
-    /// Time within which the connection has to be established and the first byte of the body sent.
+    /// Time within which the connection has to be established and the first byte of the request
+    /// sent.
     std::chrono::milliseconds connect_timeout{500};
     /// Time after which an idle connection is not reused. It should be shorter than the time after
     /// which servers close idle connections.
@@ -52,17 +51,21 @@
     auto operator<=>(const outbound_counters&) const = default;
 };
 
+struct http_reply_message;
+
 namespace detail {
+class idle_connections;
 class outbound_call_table;
 class outbound_call;
+enum class exchange_end : std::uint8_t;
 } // namespace detail
 
-/// HTTP client that uses one connection for each request in progress and sends a POST at most once.
+/// HTTP client that uses one connection for each request in progress and sends each request at most
+/// once.
 ///
 /// Must be used only on the thread that constructs it, which must run an event loop. If a deadline
 /// passes without a response, the connections to that server that have carried no response since
-/// the request was sent are not reused. Redirects, proxies, cookies, HTTP/2, pipelining and
-/// compression are disabled.
+/// the request was sent are not reused. Redirects are not followed.
 class outbound_client : public QObject {
   public:
     /// @param clock clock of the requests' deadlines; must outlive this object
@@ -84,9 +87,8 @@
     outbound_counters counters() const noexcept;
 
   private:
-    void start(detail::outbound_call& call);
-    void on_reply_finished(outbound_call_id call);
-    void on_reply_progress(outbound_call_id call);
+    void on_exchange_ended(outbound_call_id call, detail::exchange_end end,
+                           const http_reply_message& reply);
     void on_timeout();
     void give_up(detail::outbound_call& call, outbound_failure reason);
     void finish(detail::outbound_call& call, const outbound_outcome& outcome);
@@ -97,11 +99,11 @@
     outbound_options options_;
     const clock_source* clock_;
     outbound_observer* observer_;
-    connection_pool pool_;
+    std::unique_ptr<detail::idle_connections> idle_;
     std::unique_ptr<detail::outbound_call_table> calls_;
-    QNetworkAccessManager manager_;
     QTimer timer_;
     time_point timer_due_at_ = no_deadline;
+    std::uint64_t connections_opened_ = 0;
     std::uint64_t connections_renewed_ = 0;
 };
 
--- a/packages/platform/include/papayafall/platform/outbound/outbound_message.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_message.hpp
@@ -22,7 +22,6 @@
     auto operator<=>(const outbound_header&) const = default;
 };
 
-/// `post` is sent at most once; the HTTP library may resend the others.
 enum class outbound_method : std::uint8_t { post, get, remove };
 
 struct outbound_request_fields {
@@ -61,11 +60,12 @@
 
 /// Reason why a request got no complete response.
 enum class outbound_failure : std::uint8_t {
-    not_sent,         ///< no byte of the body was written
+    not_sent,         ///< no byte of the request was written
     connection_lost,  ///< the connection broke after a byte may have been written
     no_answer,        ///< the deadline passed after a byte may have been written
     answer_too_large, ///< the response body exceeds the size limit
-    answer_malformed, ///< the response does not state its length, so truncation cannot be detected
+    answer_malformed, ///< no HTTP response, or one that does not state its length, so that
+                      ///< truncation would not show
 };
 
 /// Result of a request.
--- a/packages/platform/src/http/consul_json.cpp
+++ b/packages/platform/src/http/consul_json.cpp
@@ -1,5 +1,7 @@
 #include "consul_json.hpp"
 
+#include "papayafall/wire/http/json_reader.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <QByteArray>
@@ -17,7 +19,7 @@
 
 nlohmann::json parse(const platform_http_response& response)
 {
-    nlohmann::json document = nlohmann::json::parse(response.body, nullptr, false);
+    nlohmann::json document = parse_foreign_json(response.body);
     if (document.is_discarded()) {
         fail("the platform's response is not valid JSON");
     }
--- a/packages/daemon/src/kept/http_message.cpp
+++ b/packages/platform/src/http/http_message.cpp
@@ -1,6 +1,6 @@
-#include "papayafall/daemon/kept/http_message.hpp"
+#include "papayafall/platform/http/http_message.hpp"
 
-#include "papayafall/daemon/http/http_response.hpp"
+#include "papayafall/platform/http/http_status_code.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -42,9 +42,12 @@
         append_header(buf, name, text);
     }
     if (!request.body.empty()) {
-        append_header(buf, "Content-Type", "application/json");
+        append_header(buf, "Content-Type", request.content_type);
     }
     append_header(buf, "Content-Length", std::to_string(request.body.size()));
+    if (!request.keep_alive) {
+        append_header(buf, "Connection", "close");
+    }
     return buf.append("\r\n").append(request.body);
 }
 
--- a/packages/daemon/src/kept/http_reader.cpp
+++ b/packages/platform/src/http/http_reader.cpp
@@ -1,10 +1,11 @@
-#include "papayafall/daemon/kept/http_reader.hpp"
+#include "papayafall/platform/http/http_reader.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <string>
 #include <type_traits>
 
 namespace papayafall {
@@ -16,6 +17,28 @@
 template <typename Message>
 inline constexpr bool is_request = std::is_same_v<Message, http_request_message>;
 
+error_id error_of(const beast::error_code& ec)
+{
+    const bool too_large =
+        ec == beast::http::error::body_limit || ec == beast::http::error::header_limit;
+    return too_large ? error_id::message_too_large : error_id::malformed_message;
+}
+
+/// The parser reports a stated length over the limit only if no byte of the body follows the header
+/// in the same call.
+template <typename Parser>
+void check_length(const Parser& it, std::size_t limit)
+{
+    if (it.need_eof()) {
+        throw message_error(error_id::malformed_message,
+                            "the message does not state its length, so truncation would not show");
+    }
+    if (const auto length = it.content_length(); length && *length > limit) {
+        throw message_error(error_id::message_too_large,
+                            "the body of " + std::to_string(*length) + " bytes exceeds the limit");
+    }
+}
+
 template <typename Parsed>
 header_fields headers_of(const Parsed& parsed)
 {
@@ -63,9 +86,12 @@
             break;
         }
         if (ec) {
-            throw message_error(error_id::malformed_message, ec.message());
+            throw message_error(error_of(ec), ec.message());
         }
     }
+    if (it.is_header_done()) {
+        check_length(it, limits_.body_bytes);
+    }
     if (!it.is_done()) {
         return std::nullopt;
     }
--- a/packages/daemon/src/kept/socket_options.cpp
+++ b/packages/platform/src/http/socket_options.cpp
@@ -1,4 +1,4 @@
-#include "papayafall/daemon/kept/socket_options.hpp"
+#include "papayafall/platform/http/socket_options.hpp"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/packages/platform/src/outbound/outbound_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "papayafall/platform/outbound/connection_pool.hpp"
-#include "papayafall/platform/outbound/one_shot_body.hpp"
-#include "papayafall/platform/outbound/outbound_client.hpp"
+#include "outbound_connection.hpp"
 
-#include <QNetworkReply>
+#include "papayafall/platform/outbound/outbound_client.hpp"
 
 #include <boost/intrusive/set.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -21,37 +19,18 @@
       public boost::intrusive::set_base_hook<boost::intrusive::tag<struct next_check_tag>> {
   public:
     outbound_call(outbound_call_id call_id, outbound_request sent_request,
-                  connection_id used_connection, time_point now, time_point first_check_at)
-        : id(call_id), request(std::move(sent_request)), connection(used_connection), sent_at(now),
-          next_check_at(first_check_at)
-    {
-    }
-
-    /// Stores the library's objects for the request. `started_reply` takes ownership of
-    /// `sent_body`, which it may read until it is deleted; `sent_body` is null for a request
-    /// without a body.
-    void attach(QNetworkReply* started_reply, one_shot_body* sent_body)
-    {
-        reply = started_reply;
-        body = sent_body;
-        if (body != nullptr) {
-            body->setParent(reply);
-        }
-    }
-
-    /// Whether no byte of the body can have reached the server. Always false for an empty body.
-    bool is_unsent() const noexcept
+                  outbound_connection_ptr used_connection, time_point now,
+                  time_point first_check_at)
+        : id(call_id), request(std::move(sent_request)), connection(std::move(used_connection)),
+          sent_at(now), next_check_at(first_check_at)
     {
-        return body != nullptr && request->body.size() > 0 && !body->was_read();
     }
 
     const outbound_call_id id;
     const outbound_request request;
-    const connection_id connection;
+    const outbound_connection_ptr connection;
     const time_point sent_at;
     time_point next_check_at;
-    one_shot_body* body = nullptr;
-    QNetworkReply* reply = nullptr;
 };
 
 using outbound_call_ptr = boost::intrusive_ptr<outbound_call>;
--- a/packages/wire/include/papayafall/wire/http/json_reader.hpp
+++ b/packages/wire/include/papayafall/wire/http/json_reader.hpp
@@ -16,4 +16,12 @@
 /// Complexity: linear in the size of `text`, times the logarithm of the keys of one object.
 nlohmann::json parse_caller_json(std::string_view text);
 
+/// Whether arrays and objects nest deeper than `max_json_depth`. The library copies values
+/// recursively, so that a deep document would overflow the stack. Complexity: linear.
+bool nests_too_deep(std::string_view text) noexcept;
+
+/// Parses JSON that another program has written.
+/// @return a discarded value if the text is not valid JSON or nests too deep
+nlohmann::json parse_foreign_json(std::string_view text);
+
 } // namespace papayafall
--- a/packages/wire/src/configuration/json_reader.cpp
+++ b/packages/wire/src/configuration/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "papayafall/wire/configuration/json_reader.hpp"
 
+#include "papayafall/wire/http/json_reader.hpp"
+
 namespace papayafall {
 
 namespace {
@@ -26,7 +28,7 @@
 
 nlohmann::json parse_json(std::string_view text)
 {
-    nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    nlohmann::json document = parse_foreign_json(text);
     if (document.is_discarded()) {
         throw configuration_error(error_id::invalid_configuration, "", "text is not valid JSON");
     }
--- a/packages/wire/src/http/json_reader.cpp
+++ b/packages/wire/src/http/json_reader.cpp
@@ -74,4 +74,33 @@
     }
 }
 
+bool nests_too_deep(std::string_view text) noexcept
+{
+    std::size_t depth = 0;
+    bool in_string = false;
+    bool escaped = false;
+    for (const char it : text) {
+        if (in_string) {
+            in_string = escaped || it != '"';
+            escaped = !escaped && it == '\\';
+            continue;
+        }
+        if (it == '[' || it == '{') {
+            if (++depth > max_json_depth) {
+                return true;
+            }
+        } else if (it == ']' || it == '}') {
+            depth -= depth > 0 ? 1 : 0;
+        } else if (it == '"') {
+            in_string = true;
+        }
+    }
+    return false;
+}
+
+nlohmann::json parse_foreign_json(std::string_view text)
+{
+    return nests_too_deep(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
+}
+
 } // namespace papayafall
