Link each host to the dispatchers that it needs instead of to every host

Cause: 97 hosts kept 4,656 links, each with a heartbeat each way every 175 ms. Belonging to the fleet took nine tenths of the processor time, on hosts of 0.12 of a core, and grew with the square of the hosts.

Change: a host is linked to the holders of its zone's cells, to hosts that it hands cells over to or takes them over from, and to at most four dispatchers of other zones, which a hash spreads. A link is kept for 10 s after its last need and while a job depends on it. A holder whose cell is claimed by a live host opens the link to it and releases workers once it is up. Hosts of another zone that had no link to a holder wait 4 s longer before they claim its cells, since they cannot tell a partition from the store from its end. The boot-time clock is read once a tick and a load report is encoded once for all links. A tick copies only the sessions that need something.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -47,6 +47,9 @@
 /// @param number index within the zone, less than `job_parameters::cells_per_zone`
 cell_id make_cell_id(const zone_name& zone, std::uint32_t number);
 
+/// Zone of the workers of a cell.
+zone_name zone_of(const cell_id& cell);
+
 /// Blackboard of the job dispatcher, which its controllers read and write.
 ///
 /// Each section holds immutable values and has one writer, named beside it; every controller may
--- a/packages/core/include/papayafall/core/jobs/controllers/peer_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/peer_controller.hpp
@@ -4,7 +4,12 @@
 
 namespace papayafall::jobs {
 
-/// Keeps links to the other entry hosts and reports the load of this dispatcher to them.
+/// Keeps links to the dispatchers that this host needs and reports its own load to the hosts that
+/// are linked to it.
+///
+/// A host is linked to the holders of the cells of its own zone, to the hosts that it hands cells
+/// over to or takes them over from, and to a limited number of dispatchers of other zones, so that
+/// the number of links does not grow with the fleet.
 class peer_controller : public job_controller {
   public:
     explicit peer_controller(job_board& board);
@@ -15,9 +20,9 @@
     void on_tick(job_board& board, const clock_reading& now) override;
 
   private:
-    void on_host_listed(job_board& board, const host_entry& entry, time_point now);
-    /// Stops connecting to hosts that have been neither listed nor connected for some time.
-    void forget_unlisted_peers(job_board& board, time_point now);
+    /// Opens the links that are needed and missing, and closes those not needed for some time.
+    void review_links(job_board& board, time_point now);
+    void close_unneeded_links(job_board& board, time_point now);
     void set_connected(job_board& board, const host_name& host, bool connected, time_point now);
 
     table_writer<host_name, peer_state> peers_;
--- a/packages/core/include/papayafall/core/jobs/state/membership_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/membership_state.hpp
@@ -49,6 +49,7 @@
     time_point changed_at{};             ///< when the connection was established or lost
     load_report load;                    ///< as last received
     std::uint32_t sent_since_report = 0; ///< number of jobs delegated to it after its last report
+    time_point keep_until{};             ///< when the link may be closed unless jobs depend on it
 
     auto operator<=>(const peer_state&) const = default;
 };
--- a/packages/core/src/jobs/board/job_board.cpp
+++ b/packages/core/src/jobs/board/job_board.cpp
@@ -8,6 +8,13 @@
 
 namespace papayafall::jobs {
 
+namespace {
+
+/// Between the name of the zone and the number in the id of a cell.
+constexpr char cell_separator = '/';
+
+} // namespace
+
 void job_board::check_invariants() const
 {
     ensure(waiting_tasks.size() == waiting_ranks.size(), "each waiting task has one rank");
@@ -47,7 +54,12 @@
 
 cell_id make_cell_id(const zone_name& zone, std::uint32_t number)
 {
-    return cell_id(zone.text() + "/" + std::to_string(number));
+    return cell_id(zone.text() + cell_separator + std::to_string(number));
+}
+
+zone_name zone_of(const cell_id& cell)
+{
+    return zone_name(cell.text().substr(0, cell.text().rfind(cell_separator)));
 }
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -23,6 +23,9 @@
 /// Additional delay for hosts of other zones. It is longer than the workers of a partitioned zone
 /// stay listed, because hosts outside that zone could not reach them either.
 constexpr duration foreign_zone_claim_delay = milliseconds(6000);
+/// Further delay for hosts of other zones that had no link to the holder, and so cannot tell
+/// whether it is only partitioned from the store.
+constexpr duration unlinked_claim_delay = milliseconds(4000);
 /// Time after the last change of a claim, or after the store was reached, before a better placed
 /// host claims the cell from its live holder.
 constexpr duration handover_request_delay = milliseconds(1000);
@@ -278,8 +281,11 @@
         return;
     }
     const auto position = static_cast<std::int64_t>(order.claim_position(board.self.host, number));
-    const duration delay = claim_stagger * position +
-                           (own_zone || holder_leaving ? duration{} : foreign_zone_claim_delay);
+    duration delay = claim_stagger * position;
+    if (!own_zone && !holder_leaving) {
+        const bool was_linked = known == nullptr || board.peers.contains(known->claim.holder);
+        delay += foreign_zone_claim_delay + (was_linked ? duration{} : unlinked_claim_delay);
+    }
     if (now >= delay_start + delay) {
         send_claim(board, cell, known, now);
     }
@@ -336,7 +342,7 @@
         held->token.value() >= claim.revision.value()) {
         return;
     }
-    if (!is_linked(board, claim)) {
+    if (!is_alive(board, claim)) {
         drop_cell(board, cell, "claimed_by_other");
         return;
     }
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -1,6 +1,13 @@
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
+#include "papayafall/core/policies/rendezvous_hash.hpp"
+
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -9,8 +16,66 @@
 namespace {
 
 constexpr duration load_report_period = std::chrono::milliseconds(100);
-/// Time without a link after which a host that the store does not list is forgotten.
-constexpr duration unlisted_peer_timeout = std::chrono::seconds(10);
+/// Time for which a link is kept after it was last needed. It exceeds the time after which hosts of
+/// other zones claim a cell, because the link tells them whether the holder is alive.
+constexpr duration unneeded_link_timeout = std::chrono::seconds(10);
+/// Number of dispatchers of other zones that a host is linked to.
+constexpr std::size_t max_foreign_dispatchers = 4;
+
+/// Whether a link to the host can be opened or exists.
+bool is_reachable(const job_board& board, const host_name& host)
+{
+    const peer_state* known = board.peers.find(host);
+    return board.hosts.contains(host) || (known != nullptr && known->connected);
+}
+
+/// Dispatchers of other zones that this host is linked to. A hash spreads the links of all hosts
+/// evenly over the dispatchers.
+std::vector<host_name> select_foreign_dispatchers(const job_board& board,
+                                                  const std::set<host_name>& dispatchers)
+{
+    std::vector<std::pair<std::uint64_t, host_name>> ranked;
+    for (const host_name& it : dispatchers) {
+        ranked.emplace_back(rendezvous_weight(it, board.self.host.text()), it);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    std::vector<host_name> selected;
+    for (const auto& [weight, host] : ranked) {
+        if (selected.size() == max_foreign_dispatchers) {
+            break;
+        }
+        selected.push_back(host);
+    }
+    return selected;
+}
+
+/// Hosts that this host needs a link to.
+std::set<host_name> needed_peers(const job_board& board, time_point now)
+{
+    std::set<host_name> needed;
+    std::set<host_name> foreign_dispatchers;
+    for (const auto& it : board.stored_claims) {
+        const host_name& holder = it.value.claim.holder;
+        if (!is_reachable(board, holder)) {
+            continue;
+        }
+        const bool own = zone_of(it.key) == board.self.zone || board.held_cells.contains(it.key);
+        (own ? needed : foreign_dispatchers).insert(holder);
+    }
+    for (const auto& it : board.held_cells) {
+        const bool handing_over = it.value.release_deadline != no_deadline;
+        if (handing_over && now < it.value.release_deadline) {
+            needed.insert(it.value.previous_holder);
+            needed.insert(it.value.next_holder);
+        }
+    }
+    for (const host_name& it : select_foreign_dispatchers(board, foreign_dispatchers)) {
+        needed.insert(it);
+    }
+    needed.erase(host_name());
+    needed.erase(board.self.host);
+    return needed;
+}
 
 } // namespace
 
@@ -50,11 +115,18 @@
                                const clock_reading& now)
 {
     if (const auto* it = std::get_if<host_listed>(&incoming)) {
-        on_host_listed(board, it->entry, now.steady);
+        if (board.peers.contains(it->entry.host)) {
+            board.outbox.post(connect_peer{it->entry});
+        }
+    }
+    if (std::holds_alternative<claim_listed>(incoming)) {
+        review_links(board, now.steady);
     }
     if (const auto* it = std::get_if<peer_connected>(&incoming)) {
-        peers_.put(it->host,
-                   {.incarnation = it->incarnation, .connected = true, .changed_at = now.steady});
+        peers_.put(it->host, {.incarnation = it->incarnation,
+                              .connected = true,
+                              .changed_at = now.steady,
+                              .keep_until = now.steady + unneeded_link_timeout});
         board.outbox.post(log_decision{"peer_connected", it->host.text(), {}});
     }
     if (const auto* it = std::get_if<peer_lost>(&incoming)) {
@@ -99,34 +171,44 @@
         published_load_.put(load);
         board.outbox.post(publish_load{load});
     }
-    forget_unlisted_peers(board, now.steady);
+    review_links(board, now.steady);
 }
 
-void peer_controller::forget_unlisted_peers(job_board& board, time_point now)
+void peer_controller::review_links(job_board& board, time_point now)
 {
-    std::vector<host_name> gone;
-    for (const auto& it : board.peers) {
-        if (!it.value.connected && !board.hosts.contains(it.key) &&
-            now >= it.value.changed_at + unlisted_peer_timeout) {
-            gone.push_back(it.key);
+    for (const host_name& it : needed_peers(board, now)) {
+        const peer_state* known = board.peers.find(it);
+        if (known == nullptr) {
+            if (const host_entry* entry = board.hosts.find(it)) {
+                board.outbox.post(connect_peer{*entry});
+            }
         }
+        peer_state state = known == nullptr ? peer_state{.changed_at = now} : *known;
+        state.keep_until = now + unneeded_link_timeout;
+        peers_.put(it, state);
     }
-    for (const host_name& it : gone) {
-        peers_.erase(it);
-        board.outbox.post(disconnect_peer{it});
-        board.outbox.post(log_decision{"peer_forgotten", it.text(), {}});
-    }
+    close_unneeded_links(board, now);
 }
 
-void peer_controller::on_host_listed(job_board& board, const host_entry& entry, time_point now)
+void peer_controller::close_unneeded_links(job_board& board, time_point now)
 {
-    if (entry.host == board.self.host) {
+    std::set<host_name> unneeded;
+    for (const auto& it : board.peers) {
+        if (now >= it.value.keep_until) {
+            unneeded.insert(it.key);
+        }
+    }
+    if (unneeded.empty()) {
         return;
     }
-    if (!board.peers.contains(entry.host)) {
-        peers_.put(entry.host, {.changed_at = now});
+    for (const auto& it : board.calls) {
+        unneeded.erase(it.value->dispatcher);
+    }
+    for (const host_name& it : unneeded) {
+        peers_.erase(it);
+        board.outbox.post(disconnect_peer{it});
+        board.outbox.post(log_decision{"peer_forgotten", it.text(), {}});
     }
-    board.outbox.post(connect_peer{entry});
 }
 
 void peer_controller::set_connected(job_board& board, const host_name& host, bool connected,
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -26,11 +26,30 @@
 /// Time between the timeout of a call and the next attempt to reach the worker.
 constexpr duration worker_retry_delay = milliseconds(200);
 
+/// Whether the session may need a call or a change of phase. The tick runs often, and most sessions
+/// are idle or wait for a report.
+bool needs_maintenance(const job_board& board, const worker_id& id, const worker_session& session,
+                       time_point now)
+{
+    const worker* entry = board.workers.find(id);
+    const held_cell* held = board.held_cells.find(session.cell);
+    if (session.phase != session_phase::ready || entry == nullptr || held == nullptr ||
+        held->phase == cell_phase::releasing) {
+        return true;
+    }
+    if (session.report_pending) {
+        return false;
+    }
+    return session.handled_end > session.acknowledged_end ||
+           now >= session.clock_read_at + idle_report_period || board.worker_loads.contains(id);
+}
+
 /// Session with a worker that was restarted. The lease is kept, because a call that extends it may
 /// have reached the restarted worker already.
 worker_session session_after_restart(const worker_session& previous)
 {
     return {.cell = previous.cell,
+            .address = previous.address,
             .token = previous.token,
             .lease_expired_by = previous.lease_expired_by};
 }
@@ -42,7 +61,7 @@
 {
     const worker* entry = board.workers.find(id);
     return {.id = id,
-            .address = entry == nullptr ? endpoint() : (*entry)->address,
+            .address = entry == nullptr ? session.address : (*entry)->address,
             .token = session.token};
 }
 
@@ -94,12 +113,14 @@
 
 void session_controller::on_tick(job_board& board, const clock_reading& now)
 {
-    std::vector<std::pair<worker_id, worker_session>> all;
-    all.reserve(board.sessions.size());
+    std::vector<worker_id> due;
     for (const auto& it : board.sessions) {
-        all.emplace_back(it.key, it.value);
+        if (needs_maintenance(board, it.key, it.value, now.steady)) {
+            due.push_back(it.key);
+        }
     }
-    for (const auto& [id, session] : all) {
+    for (const worker_id& id : due) {
+        const worker_session session = *board.sessions.find(id);
         if (release_idle_worker(board, id, session)) {
             continue;
         }
@@ -130,7 +151,8 @@
 void session_controller::open_session(job_board& board, const worker_fields& entry,
                                       const held_cell& held, time_point now)
 {
-    worker_session session{.cell = board.cell_of(entry), .token = held.token};
+    worker_session session{
+        .cell = board.cell_of(entry), .address = entry.address, .token = held.token};
     if (!held.previous_holder.empty() && now < held.release_deadline) {
         session.phase = session_phase::awaiting_release;
         session.lease_expired_by = held.release_deadline;
@@ -164,6 +186,12 @@
 {
     const worker_session* known = board.sessions.find(entry->id);
     if (known != nullptr) {
+        if (known->address != entry->address) {
+            worker_session session = *known;
+            session.address = entry->address;
+            sessions_.put(entry->id, std::move(session));
+            known = board.sessions.find(entry->id);
+        }
         if (known->started_at_ms != 0 && entry->started_at_ms != 0 &&
             known->started_at_ms < entry->started_at_ms) {
             board.raised.post(worker_restarted{entry->id});
@@ -336,17 +364,23 @@
     }
     const worker_load* load = board.worker_loads.find(id);
     const bool busy = load != nullptr && load->runs > 0;
-    if (entry == nullptr || session.phase == session_phase::unreachable) {
-        if (busy && now >= session.lease_expired_by) {
-            board.raised.post(worker_runs_terminated{id, now});
-        }
-        if (entry == nullptr && !busy) {
+    // An unlisted worker may only be cut off from the store: while it answers, its runs go on.
+    const bool answers = session.phase == session_phase::ready;
+    const bool silent =
+        session.phase == session_phase::unreachable || (entry == nullptr && !answers);
+    if (silent && busy && now >= session.lease_expired_by) {
+        board.raised.post(worker_runs_terminated{id, now});
+    }
+    const bool has_unacknowledged_ends = session.handled_end > session.acknowledged_end;
+    if (entry == nullptr) {
+        const bool finishing = answers && (session.report_pending || has_unacknowledged_ends);
+        if (!busy && !finishing) {
             close_session(board, id);
             return;
         }
-    }
-    if (entry == nullptr) {
-        return;
+        if (!answers) {
+            return;
+        }
     }
     if (session.phase != session_phase::ready) {
         const bool answered = session.clock_read_at >= session.report_sent_at;
@@ -358,7 +392,6 @@
         }
         return;
     }
-    const bool has_unacknowledged_ends = session.handled_end > session.acknowledged_end;
     const bool clock_stale = now >= session.clock_read_at + idle_report_period;
     if (session.report_pending || (!busy && !has_unacknowledged_ends && !clock_stale)) {
         return;
@@ -388,6 +421,10 @@
     if (held == nullptr || held->phase != cell_phase::releasing) {
         return false;
     }
+    const peer_state* next_holder = board.peers.find(held->next_holder);
+    if (next_holder == nullptr || !next_holder->connected) {
+        return false;
+    }
     const worker_load* load = board.worker_loads.find(id);
     if (load != nullptr && load->runs > 0) {
         return false;
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -1,9 +1,9 @@
 #include "papayafall/daemon/jobs/job_links.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/kept/socket_options.hpp"
 #include "papayafall/daemon/logging/log.hpp"
 #include "papayafall/platform/clock/clock_source.hpp"
+#include "papayafall/platform/http/socket_options.hpp"
 
 #include <QHostAddress>
 #include <QNetworkProxy>
@@ -40,20 +40,26 @@
     bool closed() const noexcept { return closed_; }
 
     void write(const job_message& message)
+    {
+        const time_point now = steady_now();
+        write_frame(encode_job_frame(message, now), now);
+    }
+
+    /// Sends an encoded message.
+    void write_frame(const std::string& frame, time_point now)
     {
         if (closed_ || socket_->state() != QAbstractSocket::ConnectedState) {
             return;
         }
-        const time_point now = steady_now();
-        const std::string frame = encode_job_frame(message, now);
         socket_->write(frame.data(), static_cast<qint64>(frame.size()));
         socket_->flush();
         last_written_at_ = now;
     }
 
-    void on_tick(time_point now)
+    /// @param boot_time  `boot_now()`, read once for all links
+    void on_tick(time_point now, time_point boot_time)
     {
-        if (silence_timed_out()) {
+        if (silence_timed_out(boot_time)) {
             close("silent");
         } else if (now >= last_written_at_ + owner_.options_.heartbeat_period) {
             write(link_keepalive{});
@@ -82,21 +88,22 @@
   private:
     /// Whether the other end may treat the link as lost by now. Uses the boot-time clock, so that
     /// the time of a suspension counts.
-    bool silence_timed_out() const
+    bool silence_timed_out(time_point boot_time) const
     {
-        return boot_now() >= last_received_at_ + owner_.options_.silence_timeout;
+        return boot_time >= last_received_at_ + owner_.options_.silence_timeout;
     }
 
     void receive()
     {
-        if (silence_timed_out()) {
+        const time_point boot_time = boot_now();
+        if (silence_timed_out(boot_time)) {
             close("silent"); // buffered data was sent before the other end gave the link up
             return;
         }
         const QByteArray received = socket_->readAll();
         receive_buffer_.append(received.data(), static_cast<std::size_t>(received.size()));
         const time_point now = steady_now();
-        last_received_at_ = boot_now();
+        last_received_at_ = boot_time;
         std::size_t consumed = 0;
         try {
             while (!closed_) {
@@ -279,8 +286,10 @@
 
 void job_links::publish(const load_report& load)
 {
+    const time_point now = steady_now();
+    const std::string frame = encode_job_frame(link_load{load}, now);
     for (const auto& [number, it] : incoming_links_) {
-        it->write(link_load{load});
+        it->write_frame(frame, now);
     }
 }
 
@@ -304,9 +313,10 @@
 
 void job_links::on_tick(time_point now)
 {
+    const time_point boot_time = boot_now();
     std::vector<host_entry> to_reconnect;
     for (const auto& [host, it] : outgoing_links_) {
-        it->on_tick(now);
+        it->on_tick(now, boot_time);
         if (it->closed() && now >= it->reconnect_at()) {
             to_reconnect.push_back(it->entry());
         }
@@ -315,7 +325,7 @@
         outgoing_links_[it.host] = std::make_unique<outgoing_link>(*this, it);
     }
     for (const auto& [number, it] : incoming_links_) {
-        it->on_tick(now);
+        it->on_tick(now, boot_time);
     }
     std::erase_if(incoming_links_, [](const auto& it) { return it.second->closed(); });
 }
