--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -67,8 +67,8 @@
     /// Updates the runs on a worker from its report. Runs that the report should list but does not
     /// are taken to have ended.
     void reconcile_runs(job_board& board, const report_received& received, time_point now);
-    void update_progress(job_board& board, const run_id& id, std::uint32_t percent,
-                         time_point report_sent_at, time_point now);
+    void update_progress(job_board& board, const active_run& reported,
+                         const report_received& received, time_point now);
     void request_stop(job_board& board, const run_id& id, time_point now);
     void end_run(job_board& board, const run_id& id, run_outcome outcome, time_point now);
     void complete_task(job_board& board, const run_state& run, time_point now);
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -91,7 +91,9 @@
     /// When the worker answered the start, or when a stop that it answered has taken effect. A
     /// report that is requested later lists the run unless it has ended.
     time_point confirmed_at = no_deadline;
-    time_point progress_at{}; ///< when its progress last increased
+    /// When its progress last increased, on the worker's clock, so that a report that arrives late
+    /// does not count as a stall.
+    worker_time progress_at;
     std::uint32_t progress_percent = 0;
 
     auto operator<=>(const run_state&) const = default;
--- a/packages/core/include/papayafall/core/jobs/state/worker_lease.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/worker_lease.hpp
@@ -23,6 +23,9 @@
 /// @param length  length of the lease
 lease_request request_lease(const worker_session& session, duration length, time_point now);
 
+/// Returns the latest time that the worker's clock may show now.
+worker_time latest_worker_time(const worker_session& session, time_point now);
+
 /// Returns the instant at which a lease of `length` has certainly expired and its runs have ended.
 ///
 /// @param granted_by latest instant at which the worker received the lease
--- a/packages/core/include/papayafall/core/jobs/state/worker_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/worker_state.hpp
@@ -24,6 +24,7 @@
 struct worker_session {
     session_phase phase = session_phase::probing;
     cell_id cell;
+    endpoint address; ///< as last listed
     fencing_token token;
     std::int64_t started_at_ms = 0; ///< start of the worker's process; 0: unknown
     worker_time clock;              ///< last reading of the worker's clock
--- a/packages/core/include/papayafall/core/jobs/values/job.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/job.hpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/values/time.hpp"
 #include "papayafall/core/values/value.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -47,6 +48,17 @@
 /// A job as submitted by the caller.
 using job_spec = value<job_spec_fields>;
 
+// Limits of a job's numbers, far above any that makes sense, so that arithmetic with them is safe.
+
+/// Tasks of all steps together; a larger job would take a good part of a small host's memory.
+inline constexpr std::uint64_t max_job_tasks = 10'000;
+/// Each amount of resources that a task asks for.
+inline constexpr std::int64_t max_resource_amount = 10'000'000;
+inline constexpr duration max_run_time = std::chrono::hours(1);
+
+/// Whether each step depends on earlier ones only and all numbers are within their limits.
+bool is_valid(const job_spec_fields& job);
+
 /// Returns the length of the critical path: the largest sum of estimated run times along a chain
 /// of dependent steps.
 duration critical_path_duration(const job_spec_fields& job);
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -41,6 +41,19 @@
          {"objective_ms", milliseconds_of(order.objective_deadline - order.received_at)}}});
 }
 
+/// @param work_ahead       work that goes first, in thousandths of a core times microseconds
+/// @param missing_cpu_millis capacity that the job needs and that is not free
+duration expected_wait(std::int64_t work_ahead, std::int64_t missing_cpu_millis, duration run_time,
+                       std::int64_t total_cpu_millis)
+{
+    // In floating point, because the product of valid numbers may exceed 64 bits.
+    const double work = static_cast<double>(work_ahead) + static_cast<double>(missing_cpu_millis) *
+                                                              static_cast<double>(run_time.count());
+    const double wait = work / static_cast<double>(total_cpu_millis);
+    return duration(
+        static_cast<std::int64_t>(std::min(wait, static_cast<double>(max_run_time.count()))));
+}
+
 waiting_group waiting_group_of(const job_order_fields& order, bool started)
 {
     if (order.priority == 0) {
@@ -201,7 +214,7 @@
     }
     const std::int64_t missing_cpu_millis =
         std::max<std::int64_t>(0, needed_cpu_millis - std::max<std::int64_t>(free_cpu_millis, 0));
-    const duration wait((work_ahead + missing_cpu_millis * run_time.count()) / total_cpu_millis);
+    const duration wait = expected_wait(work_ahead, missing_cpu_millis, run_time, total_cpu_millis);
     if (!admission_->admits(order, {.wait = wait, .run_time = run_time}, now)) {
         board.outbox.post(
             log_decision{"job_refused",
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -18,7 +18,7 @@
 /// Time that a worker has to answer a start or a stop before the call counts as unanswered.
 constexpr duration run_call_timeout = milliseconds(200);
 /// Time without progress after which a run counts as stalled.
-constexpr duration stall_timeout = milliseconds(220);
+constexpr milliseconds stall_timeout{220};
 /// Progress from which a run is expected to end soon and does not count as stalled.
 constexpr std::uint32_t nearly_done_percent = 98;
 /// Increment of a task's run number when the worker knows a higher one.
@@ -72,7 +72,7 @@
                         .worker = chosen_worker,
                         .need = step.need,
                         .start_sent_at = now,
-                        .progress_at = now};
+                        .progress_at = latest_worker_time(session, now)};
     put_run(id, run);
     update_worker_load(board, run, true);
     update_job(board, task.job, now, [now](job_state_fields& it) {
@@ -213,7 +213,7 @@
     for (const active_run& it : report.running) {
         if (const run_state* run = board.runs.find(it.run);
             run != nullptr && run->worker == received.worker) {
-            update_progress(board, it.run, it.progress_percent, received.sent_at, now);
+            update_progress(board, it, received, now);
         }
     }
     std::vector<run_id> missing;
@@ -235,9 +235,12 @@
     }
 }
 
-void dispatch_controller::update_progress(job_board& board, const run_id& id, std::uint32_t percent,
-                                          time_point report_sent_at, time_point now)
+void dispatch_controller::update_progress(job_board& board, const active_run& reported,
+                                          const report_received& received, time_point now)
 {
+    const run_id& id = reported.run;
+    const std::uint32_t percent = reported.progress_percent;
+    const worker_time reported_at = received.report.clock;
     run_state run = *board.runs.find(id);
     if (run.phase == run_phase::starting) {
         run.phase = run_phase::running;
@@ -249,12 +252,13 @@
     }
     if (percent > run.progress_percent) {
         run.progress_percent = percent;
-        run.progress_at = now;
+        run.progress_at = std::max(run.progress_at, reported_at);
         put_run(id, run);
         return;
     }
-    const bool stalled = report_sent_at > run.start_sent_at &&
-                         now >= run.progress_at + stall_timeout && percent < nearly_done_percent;
+    const bool stalled = received.sent_at > run.start_sent_at &&
+                         reported_at >= run.progress_at + stall_timeout &&
+                         percent < nearly_done_percent;
     if (!stalled) {
         return;
     }
--- a/packages/core/src/jobs/state/worker_lease.cpp
+++ b/packages/core/src/jobs/state/worker_lease.cpp
@@ -20,6 +20,12 @@
            expiry_margin;
 }
 
+worker_time latest_worker_time(const worker_session& session, time_point now)
+{
+    return session.clock +
+           std::chrono::ceil<std::chrono::milliseconds>(now - session.clock_read_at);
+}
+
 lease_request request_lease(const worker_session& session, duration length, time_point now)
 {
     const duration since_reading = std::chrono::duration_cast<duration>(
--- a/packages/core/src/jobs/values/job.cpp
+++ b/packages/core/src/jobs/values/job.cpp
@@ -4,6 +4,37 @@
 
 namespace papayafall::jobs {
 
+namespace {
+
+bool is_in_range(std::int64_t amount)
+{
+    return amount >= 0 && amount <= max_resource_amount;
+}
+
+bool is_valid_step(const job_step& step, std::size_t position)
+{
+    const bool follows_earlier_steps =
+        std::all_of(step.predecessors.begin(), step.predecessors.end(),
+                    [position](std::uint32_t it) { return it < position; });
+    return follows_earlier_steps && is_in_range(step.need.cpu_millis) &&
+           is_in_range(step.need.memory_mb) && is_in_range(step.need.accelerators) &&
+           step.estimated_run_time >= duration{} && step.estimated_run_time <= max_run_time;
+}
+
+} // namespace
+
+bool is_valid(const job_spec_fields& job)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t n = 0; n < job.steps.size(); ++n) {
+        tasks += job.steps[n].count;
+        if (tasks > max_job_tasks || !is_valid_step(job.steps[n], n)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 duration critical_path_duration(const job_spec_fields& job)
 {
     std::vector<duration> end_times;
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_run_that_a_restarted_worker_reports_continues);
     CPPUNIT_TEST(a_refused_connection_does_not_end_runs_started_later);
     CPPUNIT_TEST(a_stalled_run_is_stopped_and_restarted_elsewhere);
+    CPPUNIT_TEST(a_run_whose_report_arrives_late_is_not_stalled);
     CPPUNIT_TEST(the_runs_of_an_abandoned_call_are_stopped);
     CPPUNIT_TEST(the_runs_of_jobs_from_a_lost_link_are_stopped);
     CPPUNIT_TEST(a_resubmitted_job_waits_until_its_former_runs_have_ended);
@@ -191,6 +192,24 @@
         CPPUNIT_ASSERT(second[0].to.id != first[0].to.id);
     }
 
+    void a_run_whose_report_arrives_late_is_not_stalled()
+    {
+        const auto first = submit_and_take_starts(1, 1);
+        fixture_->accept_start(first[0]);
+        fixture_->advance(milliseconds(150));
+        worker_report report{.clock = fixture_->worker_clock()};
+        report.running.push_back({.run = first[0].run, .progress_percent = 3});
+        fixture_->deliver_report(first[0].to.id.text(), report, true);
+        // Made 10 ms after the first one, and delayed on its way.
+        report.clock = report.clock + milliseconds(10);
+        fixture_->advance(milliseconds(400));
+        fixture_->deliver_report(first[0].to.id.text(), report, true);
+        CPPUNIT_ASSERT(fixture_->take_actions<stop_run>().empty());
+        report.clock = report.clock + milliseconds(300);
+        fixture_->deliver_report(first[0].to.id.text(), report, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_run>().size());
+    }
+
     void the_runs_of_an_abandoned_call_are_stopped()
     {
         const auto starts = submit_and_take_starts(1, 2);
--- a/packages/core/tests/jobs/unit-worker_cells.cpp
+++ b/packages/core/tests/jobs/unit-worker_cells.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(a_new_holder_waits_for_the_release_of_workers);
     CPPUNIT_TEST(workers_unlisted_after_a_store_outage_get_time_to_relist);
     CPPUNIT_TEST(a_run_that_this_host_did_not_start_is_stopped);
+    CPPUNIT_TEST(the_run_of_an_unlisted_worker_that_answers_goes_on);
+    CPPUNIT_TEST(the_run_of_an_unlisted_silent_worker_restarts_after_its_lease);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -294,6 +296,55 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_run>().size());
     }
 
+    void the_run_of_an_unlisted_worker_that_answers_goes_on()
+    {
+        start_single_run(std::chrono::seconds(3));
+        fixture_->add_worker("w-2");
+        fixture_->deliver(worker_unlisted{started_run_.to.id});
+        fixture_->advance(milliseconds(20));
+        CPPUNIT_ASSERT(!fixture_->board().workers.contains(started_run_.to.id));
+        CPPUNIT_ASSERT(fixture_->board().sessions.find(started_run_.to.id)->report_pending);
+        for (std::uint32_t percent = 10; percent < 100; percent += 10) {
+            fixture_->advance(milliseconds(150));
+            fixture_->take_actions<fetch_report>();
+            worker_report report;
+            report.running.push_back({.run = started_run_.run, .progress_percent = percent});
+            fixture_->deliver_report(started_run_.to.id.text(), report, true);
+            fixture_->advance(milliseconds(10));
+            const auto calls = fixture_->take_actions<fetch_report>();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls.size());
+            CPPUNIT_ASSERT(calls[0].lease_until);
+            CPPUNIT_ASSERT(calls[0].to.address == job_fixture::make_worker("w-1").address);
+        }
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        fixture_->report_run_end(started_run_, run_outcome::done);
+        const auto answers = fixture_->take_actions<answer_job>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answers.size());
+        CPPUNIT_ASSERT(answers[0].outcome == job_outcome::succeeded);
+        fixture_->advance(milliseconds(20));
+        fixture_->deliver_report(started_run_.to.id.text(), {}, true); // the end is acknowledged
+        fixture_->advance(milliseconds(20));
+        CPPUNIT_ASSERT(!fixture_->board().sessions.contains(started_run_.to.id));
+    }
+
+    void the_run_of_an_unlisted_silent_worker_restarts_after_its_lease()
+    {
+        start_single_run(std::chrono::seconds(3));
+        fixture_->add_worker("w-2");
+        fixture_->deliver(worker_unlisted{started_run_.to.id});
+        fixture_->advance(milliseconds(20));
+        const time_point last_lease =
+            fixture_->board().sessions.find(started_run_.to.id)->lease_expired_by;
+        fixture_->deliver(
+            report_failed{started_run_.to.id, {}, call_failure::timed_out, fixture_->now(), true});
+        fixture_->advance(last_lease - fixture_->now() - milliseconds(20));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        fixture_->advance(milliseconds(100));
+        const auto starts = fixture_->take_actions<start_run>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
+        CPPUNIT_ASSERT(starts[0].to.id == worker_id("w-2"));
+    }
+
   private:
     void list_own_host()
     {
@@ -321,10 +372,12 @@
         fixture_->take_actions<claim_cell>();
     }
 
-    void start_single_run()
+    /// @param wait time between the start of the host and that of the run
+    void start_single_run(duration wait = {})
     {
         fixture_->acquire_cell();
         fixture_->add_worker("w-1");
+        fixture_->advance(wait);
         fixture_->submit_job(1, job_fixture::make_job("00000000000000a1"));
         const auto starts = fixture_->take_actions<start_run>();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, starts.size());
--- a/packages/core/tests/support/job_fixture.hpp
+++ b/packages/core/tests/support/job_fixture.hpp
@@ -120,11 +120,21 @@
         if (it.started_at_ms == 0) {
             it.started_at_ms = make_worker(id).started_at_ms;
         }
+        if (it.clock == jobs::worker_time()) {
+            it.clock = worker_clock();
+        }
         const time_point sent_at = now_;
         advance(std::chrono::milliseconds(10));
         deliver(jobs::report_received{jobs::worker_id(id), {}, std::move(it), sent_at, long_poll});
     }
 
+    /// What the clocks of all workers show.
+    jobs::worker_time worker_clock() const
+    {
+        using std::chrono::milliseconds;
+        return {std::chrono::duration_cast<milliseconds>(now_.time_since_epoch()).count()};
+    }
+
     static jobs::job_spec make_job(const std::string& id, std::uint32_t tasks = 1)
     {
         jobs::job_spec_fields it{.id = jobs::job_id(id), .options = {.best_effort = true}};
--- a/packages/daemon/src/kept/persistent_connection.cpp
+++ b/packages/daemon/src/kept/persistent_connection.cpp
@@ -1,7 +1,8 @@
 #include "papayafall/daemon/kept/persistent_connection.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
-#include "papayafall/daemon/kept/socket_options.hpp"
+#include "papayafall/platform/clock/clock_source.hpp"
+#include "papayafall/platform/http/socket_options.hpp"
 
 #include <QHostAddress>
 #include <QNetworkProxy>
@@ -76,6 +77,9 @@
     if (unsent_request_.empty()) {
         return;
     }
+    if (steady_now() >= deadline_) {
+        return; // the next tick ends the call; a request that is sent now would be carried out late
+    }
     socket_->write(unsent_request_.data(), static_cast<qint64>(unsent_request_.size()));
     socket_->flush();
     unsent_request_.clear();
--- a/packages/daemon/tests/jobs/unit-job_links.cpp
+++ b/packages/daemon/tests/jobs/unit-job_links.cpp
@@ -10,6 +10,8 @@
 #include <QTcpSocket>
 
 #include <chrono>
+#include <random>
+#include <string>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -64,6 +66,7 @@
     CPPUNIT_TEST(a_delegated_job_is_answered_over_its_link);
     CPPUNIT_TEST(messages_buffered_on_a_silent_link_are_discarded);
     CPPUNIT_TEST(a_disconnected_host_is_not_reconnected);
+    CPPUNIT_TEST(malformed_bytes_end_only_their_own_link);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -115,6 +118,32 @@
         CPPUNIT_ASSERT(!run_until([&] { return peer.hasPendingConnections(); }, milliseconds(100)));
     }
 
+    void malformed_bytes_end_only_their_own_link()
+    {
+        constexpr int links_with_random_bytes = 100;
+        recording_sink events;
+        job_links links(options_of("e-1", std::chrono::seconds(60)), events);
+        QTcpSocket peer;
+        peer.connectToHost("127.0.0.1", links.port());
+        write(peer, link_hello{host_name("e-2"), incarnation_id(2)});
+        CPPUNIT_ASSERT(run_until([&] { return peer.bytesAvailable() > 0; }));
+        std::mt19937_64 rng(1);
+        for (int n = 0; n < links_with_random_bytes; ++n) {
+            QTcpSocket hostile;
+            hostile.connectToHost("127.0.0.1", links.port());
+            std::string text =
+                encode_job_frame(link_delegation{delegation_id(1), sample_order()}, steady_now());
+            text[n % 2 == 0 ? rng() % 6 : rng() % text.size()] = static_cast<char>(rng());
+            hostile.write(text.data(), static_cast<qint64>(text.size()));
+            hostile.flush();
+            run_until([] { return false; }, milliseconds(2));
+        }
+        write(peer, link_delegation{delegation_id(7), sample_order()});
+        const std::size_t before = events.count<delegation_received>();
+        CPPUNIT_ASSERT(run_until([&] { return events.count<delegation_received>() > before; }));
+        CPPUNIT_ASSERT(peer.state() == QAbstractSocket::ConnectedState);
+    }
+
   private:
     static host_entry entry_of(const char* host, std::uint16_t port)
     {
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -107,6 +107,9 @@
 /// Size in bytes of the size field at the start of a frame.
 constexpr std::size_t size_field_length = sizeof(std::uint32_t);
 
+/// Size in bytes of a frame without content: its size, the protocol version and the message kind.
+constexpr std::size_t min_frame_size = size_field_length + 2;
+
 /// Decodes the content of message kind `kind`; tries the alternatives from `Index` on.
 template <std::size_t Index = 0>
 job_message decode_message_of_kind(detail::message_input_archive& in, std::uint8_t kind)
@@ -146,14 +149,20 @@
     }
     std::uint32_t size = 0;
     std::memcpy(&size, received.data(), size_field_length);
-    if (size < size_field_length + 2 || size > max_job_frame_size) {
-        throw message_error(error_id::message_too_large, "frame size is outside its valid range");
+    if (size < min_frame_size) {
+        throw message_error(error_id::malformed_message, "frame is too small for its header");
+    }
+    if (size > max_job_frame_size) {
+        throw message_error(error_id::message_too_large, "message exceeds the maximum frame size");
     }
     return size;
 }
 
 job_message decode_job_frame(std::string_view frame, time_point now)
 {
+    if (job_frame_size(frame) != frame.size()) {
+        throw message_error(error_id::malformed_message, "frame differs in size from its header");
+    }
     try {
         detail::message_input_archive in(frame.substr(size_field_length), now);
         std::uint8_t version = 0;
@@ -165,6 +174,10 @@
         }
         job_message message = decode_message_of_kind(in, kind);
         in.expect_end();
+        const auto* delegation = std::get_if<link_delegation>(&message);
+        if (delegation != nullptr && !is_valid(*delegation->order->job)) {
+            throw message_error(error_id::malformed_message, "delegated job is not valid");
+        }
         return message;
     } catch (const cereal::Exception& ex) {
         throw message_error(error_id::malformed_message, ex.what());
--- a/packages/wire/tests/jobs/unit-job_message.cpp
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <random>
 #include <vector>
 
 namespace papayafall::jobs {
@@ -55,6 +57,7 @@
     CPPUNIT_TEST(deadlines_follow_the_clock_of_the_receiver);
     CPPUNIT_TEST(truncated_frames_are_rejected);
     CPPUNIT_TEST(invalid_sizes_are_rejected);
+    CPPUNIT_TEST(changed_frames_are_decoded_or_rejected);
     CPPUNIT_TEST(unknown_versions_and_kinds_are_rejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,7 +83,7 @@
     {
         for (const job_message& it : sample_messages(sent_at)) {
             const std::string frame = encode_job_frame(it, sent_at);
-            for (std::size_t n = 4; n < frame.size(); ++n) {
+            for (std::size_t n = 0; n < frame.size(); ++n) {
                 CPPUNIT_ASSERT_THROW(decode_job_frame(frame.substr(0, n), sent_at), message_error);
             }
         }
@@ -93,6 +96,26 @@
         CPPUNIT_ASSERT_THROW(job_frame_size(std::string(4, '\xff')), message_error);
     }
 
+    void changed_frames_are_decoded_or_rejected()
+    {
+        constexpr int inputs_per_message = 3000;
+        std::mt19937_64 rng(1);
+        for (const job_message& message : sample_messages(sent_at)) {
+            const std::string frame = encode_job_frame(message, sent_at);
+            for (int n = 0; n < inputs_per_message; ++n) {
+                std::string changed = frame;
+                for (std::uint64_t changes = 1 + rng() % 4; changes > 0; --changes) {
+                    changed[rng() % changed.size()] = static_cast<char>(rng());
+                }
+                try {
+                    decode_job_frame(changed, sent_at);
+                } catch (const message_error&) {
+                    continue;
+                }
+            }
+        }
+    }
+
     void unknown_versions_and_kinds_are_rejected()
     {
         std::string frame = encode_job_frame(link_keepalive{}, sent_at);
