Follow the workers' entries only on hosts that hold or claim cells

Cause: each worker changes its entry with every heartbeat.

Before it claims a cell it lists them and follows them again, so that it never starts work on what it knew before (a worker that is being emptied).

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -72,6 +72,7 @@
     cell<queue_configuration> configuration;
     table<worker_id, worker> workers;
     table<worker_id, time_point> unlisted_workers; ///< instant at which each is removed
+    cell<worker_view> view_of_workers;             ///< at the start, every change is followed
     table<host_name, host_entry> hosts;
     table<cell_id, claim_state> stored_claims; ///< as last seen in the store
 
@@ -83,6 +84,7 @@
     // written by cell_controller
     table<cell_id, held_cell> held_cells;
     table<cell_id, pending_claim> pending_claims;
+    cell<time_point> workers_needed_until; ///< a claim needs the current workers until then
     cell<time_point> cell_review_due;
 
     // written by session_controller
--- a/packages/core/include/papayafall/core/jobs/controllers/cell_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/cell_controller.hpp
@@ -22,6 +22,7 @@
   private:
     /// Claims the cell if it is this host's turn.
     void review_cell(job_board& board, const zone_name& zone, std::uint32_t number, time_point now);
+    /// Claims the cell; first waits for the current workers if they are not followed.
     /// @param known claim of the cell as last seen in the store, or nullptr
     void send_claim(job_board& board, const cell_id& cell, const claim_state* known,
                     time_point now);
@@ -40,6 +41,7 @@
 
     table_writer<cell_id, held_cell> held_cells_;
     table_writer<cell_id, pending_claim> pending_claims_;
+    cell_writer<time_point> workers_needed_until_;
     cell_writer<time_point> review_due_;
 };
 
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -48,6 +48,12 @@
 
 // Actions towards the platform's store.
 
+/// Starts or stops following the changes of all workers. A host that does not follow them lists
+/// them from time to time.
+struct follow_workers {
+    bool follow = true;
+};
+
 /// Writes this host's claim of a cell if the stored claim has the expected revision.
 struct claim_cell {
     cell_id cell;
@@ -172,8 +178,8 @@
 };
 
 using job_action =
-    std::variant<answer_job, answer_queue_length, answer_job_status, claim_cell, release_cell,
-                 update_host_entry, connect_peer, disconnect_peer, delegate_job,
+    std::variant<answer_job, answer_queue_length, answer_job_status, follow_workers, claim_cell,
+                 release_cell, update_host_entry, connect_peer, disconnect_peer, delegate_job,
                  withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
                  start_run, stop_run, fetch_report, close_worker_connections, set_readiness,
                  stop_dispatcher, log_decision>;
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -34,6 +34,9 @@
     worker_id id;
 };
 
+/// All workers that the store lists were reported, and their changes are followed from now on.
+struct workers_followed {};
+
 /// An entry host was added to the store, or its entry has changed.
 struct host_listed {
     host_entry entry;
@@ -290,13 +293,13 @@
 
 using job_event =
     std::variant<store_reached, store_lost, configuration_read, worker_listed, worker_unlisted,
-                 host_listed, host_unlisted, claim_listed, claim_unlisted, claim_answered,
-                 job_submitted, queue_length_requested, job_status_requested, call_abandoned,
-                 peer_connected, peer_lost, load_reported, delegation_answered, delegation_received,
-                 delegation_withdrawn, delegator_lost, worker_released, start_answered,
-                 stop_answered, report_received, report_failed, stop_requested, process_resumed,
-                 process_stopping, cell_acquired, cell_lost, run_finished, run_stalled,
-                 run_time_measured, worker_runs_terminated, worker_restarted, worker_ownership_lost,
-                 job_finished, job_delegated, lease_extended>;
+                 workers_followed, host_listed, host_unlisted, claim_listed, claim_unlisted,
+                 claim_answered, job_submitted, queue_length_requested, job_status_requested,
+                 call_abandoned, peer_connected, peer_lost, load_reported, delegation_answered,
+                 delegation_received, delegation_withdrawn, delegator_lost, worker_released,
+                 start_answered, stop_answered, report_received, report_failed, stop_requested,
+                 process_resumed, process_stopping, cell_acquired, cell_lost, run_finished,
+                 run_stalled, run_time_measured, worker_runs_terminated, worker_restarted,
+                 worker_ownership_lost, job_finished, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -37,6 +37,8 @@
 constexpr duration holder_listing_grace = milliseconds(300);
 /// Time after which a claim without an answer is sent again.
 constexpr duration claim_timeout = milliseconds(1500);
+/// Time for which the workers are followed after a claim was last intended.
+constexpr duration worker_follow_time = milliseconds(5000);
 /// Time that a previous holder has to end the runs on the workers that it releases.
 constexpr duration release_timeout = milliseconds(1500);
 /// Time after which a leaving host releases the cells that no other host has claimed.
@@ -185,6 +187,7 @@
 
 cell_controller::cell_controller(job_board& board)
     : held_cells_(board.held_cells.claim()), pending_claims_(board.pending_claims.claim()),
+      workers_needed_until_(board.workers_needed_until.claim()),
       review_due_(board.cell_review_due.claim())
 {
 }
@@ -202,6 +205,9 @@
             pending_claims_.erase(it->cell);
         }
     }
+    if (std::holds_alternative<workers_followed>(incoming)) {
+        review_due_.put(now.steady);
+    }
     if (const auto* it = std::get_if<start_answered>(&incoming)) {
         if (it->result == start_result::fenced) {
             on_fenced(board, it->worker, {});
@@ -294,6 +300,10 @@
 void cell_controller::send_claim(job_board& board, const cell_id& cell, const claim_state* known,
                                  time_point now)
 {
+    workers_needed_until_.put(now + worker_follow_time);
+    if (*board.view_of_workers != worker_view::current) {
+        return;
+    }
     const bool listed = known != nullptr && known->listed;
     const bool handover = known != nullptr && known->claim.holder != board.self.host &&
                           is_linked(board, known->claim);
--- a/packages/core/src/jobs/controllers/directory_controller.cpp
+++ b/packages/core/src/jobs/controllers/directory_controller.cpp
@@ -12,11 +12,15 @@
 /// Time that workers have to list themselves again once the store is reachable.
 constexpr duration worker_relisting_grace = std::chrono::milliseconds(2200);
 
+/// Time after the store was reached in which a host may claim cells for the first time.
+constexpr duration claim_preparation_time = std::chrono::seconds(5);
+
 } // namespace
 
 directory_controller::directory_controller(job_board& board)
     : configuration_(board.configuration.claim()), workers_(board.workers.claim()),
-      unlisted_workers_(board.unlisted_workers.claim()), hosts_(board.hosts.claim()),
+      unlisted_workers_(board.unlisted_workers.claim()),
+      view_of_workers_(board.view_of_workers.claim()), hosts_(board.hosts.claim()),
       stored_claims_(board.stored_claims.claim())
 {
 }
@@ -33,6 +37,10 @@
     if (const auto* it = std::get_if<worker_unlisted>(&incoming)) {
         mark_worker_unlisted(board, it->id, now.steady);
     }
+    if (std::holds_alternative<workers_followed>(incoming) &&
+        *board.view_of_workers == worker_view::catching) {
+        view_of_workers_.put(worker_view::current);
+    }
     if (const auto* it = std::get_if<host_listed>(&incoming)) {
         hosts_.put(it->entry.host, it->entry);
     }
@@ -63,6 +71,21 @@
         workers_.erase(*gone);
         board.outbox.post(log_decision{"worker_gone", gone->text(), {{"reason", "not_listed"}}});
     }
+    review_view_of_workers(board, now.steady);
+}
+
+void directory_controller::review_view_of_workers(job_board& board, time_point now)
+{
+    const bool needed = !board.held_cells.empty() || now < *board.workers_needed_until ||
+                        now < board.lifecycle->store_reached_at + claim_preparation_time;
+    const bool follows = *board.view_of_workers != worker_view::listed;
+    if (needed == follows || !board.lifecycle->store_reachable) {
+        return;
+    }
+    view_of_workers_.put(needed ? worker_view::catching : worker_view::listed);
+    board.outbox.post(follow_workers{needed});
+    board.outbox.post(
+        log_decision{"workers_followed", "workers", {{"follow", needed ? "1" : "0"}}});
 }
 
 void directory_controller::apply_configuration(job_board& board,
--- a/packages/core/tests/random/jobs/dispatcher_model.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.cpp
@@ -60,6 +60,7 @@
     suspended_ = false;
     deferred_events_.clear();
     last_store_items_.clear();
+    follows_workers_ = true;
     lease_ = 0;
     store_reachable_ = false;
     configured_peers_.clear();
@@ -196,7 +197,18 @@
 
 void dispatcher_model::read_store()
 {
-    const std::map<std::string, store_model::item> current = context_.store.items();
+    std::map<std::string, store_model::item> current = context_.store.items();
+    const auto is_worker = [](const auto& it) {
+        return std::holds_alternative<jobs::worker_fields>(it.second.content);
+    };
+    if (!follows_workers_) {
+        std::erase_if(current, is_worker);
+        for (const auto& it : last_store_items_) {
+            if (is_worker(it)) {
+                current.insert(it);
+            }
+        }
+    }
     const auto previous = std::exchange(last_store_items_, current);
     for (const auto& [key, it] : current) {
         const auto known = previous.find(key);
@@ -224,6 +236,9 @@
             deliver(jobs::claim_unlisted{jobs::cell_id(name_part)});
         }
     }
+    if (follows_workers_) {
+        deliver(jobs::workers_followed{});
+    }
     if (!store_reachable_) {
         store_reachable_ = true;
         deliver(jobs::store_reached{});
@@ -280,6 +295,11 @@
     }
 }
 
+void dispatcher_model::perform(const jobs::follow_workers& it)
+{
+    follows_workers_ = it.follow;
+}
+
 void dispatcher_model::perform(const jobs::claim_cell& it)
 {
     const auto answered = std::make_shared<bool>(false);
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -82,6 +82,7 @@
     void perform_actions();
 
     void perform(const jobs::answer_job& it);
+    void perform(const jobs::follow_workers& it);
     void perform(const jobs::claim_cell& it);
     void perform(const jobs::release_cell& it);
     void perform(const jobs::update_host_entry& it);
@@ -126,6 +127,7 @@
     std::vector<jobs::job_event> deferred_events_;
     std::vector<call_id> calls_;
     std::map<std::string, store_model::item> last_store_items_;
+    bool follows_workers_ = true;
     store_model::lease_id lease_ = 0;
     bool store_reachable_ = false;
     time_point last_store_contact_at_{};
--- a/packages/wire/src/http/json_reader.cpp
+++ b/packages/wire/src/http/json_reader.cpp
@@ -100,7 +100,8 @@
 
 nlohmann::json parse_foreign_json(std::string_view text)
 {
-    return nests_too_deep(text) ? json(json::value_t::discarded) : json::parse(text, nullptr, false);
+    return nests_too_deep(text) ? json(json::value_t::discarded)
+                                : json::parse(text, nullptr, false);
 }
 
 } // namespace papayafall
