Build the kept connections on the same HTTP connection as the targets' client

Change: http_connection in packages/platform sends one request and reads its answer; the kept connection adds the deadline and reconnects, the targets' client the pool of idle connections. Signals are bound to an object that ends with the owner. A request whose deadline passed while it waited for its connection is not sent (a_request_is_not_sent_after_its_deadline).

The callers' server restarted the time limit of a request with every fragment (fragments_do_not_extend_the_time_of_a_request) and buffered without limit what a caller sent behind an open call (bytes_that_pile_up_behind_an_open_call_end_the_connection).

--- a/packages/daemon/include/papayafall/daemon/kept/persistent_connection.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/persistent_connection.hpp
@@ -2,13 +2,10 @@
 
 #include "papayafall/core/values/host.hpp"
 #include "papayafall/core/values/time.hpp"
-#include "papayafall/platform/http/http_reader.hpp"
-
-#include <QTcpSocket>
+#include "papayafall/platform/http/http_connection.hpp"
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace papayafall {
@@ -45,7 +42,7 @@
     bool idle() const noexcept { return !handler_; }
 
     /// Whether the connection is open.
-    bool open() const noexcept { return connected_; }
+    bool open() const { return connection_ != nullptr && connection_->is_open(); }
 
     const endpoint& address() const noexcept { return address_; }
 
@@ -62,21 +59,14 @@
     void close();
 
   private:
-    void connect_socket();
-    void on_connected();
-    void on_error(QAbstractSocket::SocketError reason);
-    void on_ready_read();
     void finish(const exchange_result& result);
-    void drop_socket();
+    void drop_connection();
 
     endpoint address_;
     http_limits limits_;
-    std::unique_ptr<QTcpSocket> socket_;
-    std::unique_ptr<http_reader<http_reply_message>> reader_;
-    std::string unsent_request_; ///< serialized request, until connected
+    http_connection_ptr connection_; ///< empty before the first call and after a timeout
     result_handler handler_;
     time_point deadline_ = no_deadline;
-    bool connected_ = false;
 };
 
 } // namespace papayafall
--- a/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
@@ -33,7 +33,7 @@
 struct request_server_options {
     endpoint listen;
     http_limits limits;
-    /// Time that a caller has to send the rest of a request; every received fragment restarts it.
+    /// Time that a caller has to send the rest of a request after its first byte.
     duration receive_timeout = std::chrono::seconds(5);
     /// Further connections are closed immediately.
     std::size_t max_connections = 2000;
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -21,9 +21,9 @@
     link(job_links& owner, QTcpSocket* socket) : owner_(owner), socket_(socket)
     {
         last_received_at_ = boot_now();
-        QObject::connect(socket_, &QTcpSocket::readyRead, [this] { receive(); });
+        QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
         QObject::connect(
-            socket_, &QTcpSocket::errorOccurred, socket_, [this] { close("connection_ended"); },
+            socket_, &QTcpSocket::errorOccurred, &context_, [this] { close("connection_ended"); },
             Qt::QueuedConnection);
     }
 
@@ -124,6 +124,7 @@
 
     job_links& owner_;
     QTcpSocket* socket_;
+    QObject context_; ///< drops the signals of the socket that are still queued at the end
     std::string receive_buffer_;
     time_point last_received_at_{};
     time_point last_written_at_{};
--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -28,9 +28,9 @@
         : owner_(owner), number_(number), socket_(socket), reader_(owner.options_.limits)
     {
         set_socket_options(*socket_);
-        QObject::connect(socket_, &QTcpSocket::readyRead, [this] { receive(); });
+        QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
         QObject::connect(
-            socket_, &QTcpSocket::disconnected, socket_,
+            socket_, &QTcpSocket::disconnected, &context_,
             [this] { owner_.remove_connection(number_); }, Qt::QueuedConnection);
     }
 
@@ -69,6 +69,9 @@
         reader_.feed({received.data(), static_cast<std::size_t>(received.size())});
         if (!call_) {
             handle_next_request();
+        } else if (reader_.unparsed_bytes() >
+                   owner_.options_.limits.header_bytes + owner_.options_.limits.body_bytes) {
+            socket_->disconnectFromHost(); // sends on without waiting for the answer
         }
     }
 
@@ -77,9 +80,11 @@
         try {
             auto request = reader_.next();
             if (!request) {
-                receive_deadline_ = reader_.has_partial_message()
-                                        ? steady_now() + owner_.options_.receive_timeout
-                                        : no_deadline;
+                if (!reader_.has_partial_message()) {
+                    receive_deadline_ = no_deadline;
+                } else if (receive_deadline_ == no_deadline) {
+                    receive_deadline_ = steady_now() + owner_.options_.receive_timeout;
+                }
                 return;
             }
             receive_deadline_ = no_deadline;
@@ -97,6 +102,7 @@
     request_server& owner_;
     std::uint64_t number_;
     QTcpSocket* socket_;
+    QObject context_; ///< drops the signals of the socket that are still queued at the end
     http_reader<http_request_message> reader_;
     std::optional<call_id> call_;
     time_point receive_deadline_ = no_deadline;
--- a/packages/daemon/tests/kept/unit-persistent_http.cpp
+++ b/packages/daemon/tests/kept/unit-persistent_http.cpp
@@ -12,6 +12,7 @@
 #include <QTcpSocket>
 
 #include <optional>
+#include <thread>
 #include <vector>
 
 namespace papayafall {
@@ -52,6 +53,9 @@
     CPPUNIT_TEST(a_disconnected_caller_is_reported_and_not_answered);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(an_incomplete_request_is_closed_at_its_deadline);
+    CPPUNIT_TEST(fragments_do_not_extend_the_time_of_a_request);
+    CPPUNIT_TEST(bytes_that_pile_up_behind_an_open_call_end_the_connection);
+    CPPUNIT_TEST(a_request_is_not_sent_after_its_deadline);
     CPPUNIT_TEST(answers_during_shutdown_close_the_connection);
     CPPUNIT_TEST_SUITE_END();
 
@@ -238,6 +242,48 @@
         CPPUNIT_ASSERT(handler_->calls.empty());
     }
 
+    void fragments_do_not_extend_the_time_of_a_request()
+    {
+        constexpr int max_fragments = 1000;
+        QTcpSocket socket;
+        socket.connectToHost(QHostAddress::LocalHost, server_->port());
+        socket.write("POST /1 HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
+        int fragments = 0;
+        while (socket.state() != QAbstractSocket::UnconnectedState && fragments < max_fragments) {
+            socket.write("x");
+            ++fragments;
+            run_until([] { return false; }, milliseconds(5));
+            server_->on_tick(steady_now());
+        }
+        CPPUNIT_ASSERT(fragments < max_fragments);
+        CPPUNIT_ASSERT(handler_->calls.empty());
+    }
+
+    void bytes_that_pile_up_behind_an_open_call_end_the_connection()
+    {
+        QTcpSocket socket;
+        socket.connectToHost(QHostAddress::LocalHost, server_->port());
+        socket.write("POST /1 HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 1; }));
+        constexpr qsizetype more_than_any_request = 3 << 20;
+        socket.write(QByteArray(more_than_any_request, 'x'));
+        CPPUNIT_ASSERT(
+            run_until([&] { return socket.state() == QAbstractSocket::UnconnectedState; }));
+    }
+
+    void a_request_is_not_sent_after_its_deadline()
+    {
+        persistent_connection connection({"127.0.0.1", server_->port()}, http_limits());
+        std::optional<exchange_result> result;
+        send(connection, result, milliseconds(20));
+        // The process is stopped while the connection is being established.
+        std::this_thread::sleep_for(milliseconds(50));
+        run_until([] { return false; }, milliseconds(50));
+        CPPUNIT_ASSERT(handler_->calls.empty());
+        connection.on_tick(steady_now());
+        CPPUNIT_ASSERT(result.has_value() && result->error == exchange_error::timed_out);
+    }
+
     void answers_during_shutdown_close_the_connection()
     {
         persistent_connection connection({"127.0.0.1", server_->port()}, http_limits());
--- a/packages/platform/include/papayafall/platform/http/http_reader.hpp
+++ b/packages/platform/include/papayafall/platform/http/http_reader.hpp
@@ -39,6 +39,9 @@
     /// Whether bytes of a message that `next` has not returned yet have arrived.
     bool has_partial_message() const noexcept { return has_partial_message_ || !unparsed_.empty(); }
 
+    /// Number of received bytes that the parser has not consumed.
+    std::size_t unparsed_bytes() const noexcept { return unparsed_.size(); }
+
   private:
     struct parser;
 
--- a/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
+++ b/packages/platform/include/papayafall/platform/outbound/outbound_client.hpp
@@ -52,12 +52,12 @@
 };
 
 struct http_reply_message;
+enum class exchange_end : std::uint8_t;
 
 namespace detail {
 class idle_connections;
 class outbound_call_table;
 class outbound_call;
-enum class exchange_end : std::uint8_t;
 } // namespace detail
 
 /// HTTP client that uses one connection for each request in progress and sends each request at most
@@ -87,7 +87,7 @@
     outbound_counters counters() const noexcept;
 
   private:
-    void on_exchange_ended(outbound_call_id call, detail::exchange_end end,
+    void on_exchange_ended(outbound_call_id call, exchange_end end,
                            const http_reply_message& reply);
     void on_timeout();
     void give_up(detail::outbound_call& call, outbound_failure reason);
--- a/packages/platform/src/outbound/outbound_call.hpp
+++ b/packages/platform/src/outbound/outbound_call.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "outbound_connection.hpp"
+#include "idle_connections.hpp"
 
 #include "papayafall/platform/outbound/outbound_client.hpp"
 
--- a/packages/platform/src/outbound/outbound_client.cpp
+++ b/packages/platform/src/outbound/outbound_client.cpp
@@ -53,17 +53,18 @@
     return {std::move(fields)};
 }
 
-outbound_outcome make_outcome(const detail::outbound_call& call, detail::exchange_end end,
+outbound_outcome make_outcome(const detail::outbound_call& call, exchange_end end,
                               const http_reply_message& reply)
 {
     switch (end) {
-    case detail::exchange_end::response:
+    case exchange_end::response:
         return make_response(reply);
-    case detail::exchange_end::too_large:
+    case exchange_end::too_large:
         return outbound_failure::answer_too_large;
-    case detail::exchange_end::malformed:
+    case exchange_end::malformed:
         return outbound_failure::answer_malformed;
-    case detail::exchange_end::lost:
+    case exchange_end::refused:
+    case exchange_end::lost:
         break;
     }
     return call.connection->is_sent() ? outbound_failure::connection_lost
@@ -107,8 +108,8 @@
     const detail::outbound_call_ptr it(new detail::outbound_call(
         call, request, connection, started_at, std::min(connected_by, request->deadline)));
     calls_->insert(it);
-    connection->send(encode(*request),
-                     [this, call](detail::exchange_end end, const http_reply_message& reply) {
+    connection->send(encode(*request), request->deadline,
+                     [this, call](exchange_end end, const http_reply_message& reply) {
                          on_exchange_ended(call, end, reply);
                      });
     schedule();
@@ -132,7 +133,7 @@
     return {.connections_opened = connections_opened_, .connections_renewed = connections_renewed_};
 }
 
-void outbound_client::on_exchange_ended(outbound_call_id call, detail::exchange_end end,
+void outbound_client::on_exchange_ended(outbound_call_id call, exchange_end end,
                                         const http_reply_message& reply)
 {
     const detail::outbound_call_ptr it = calls_->find(call);
