--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -35,6 +35,7 @@
                                                   const std::set<host_name>& dispatchers)
 {
     std::vector<std::pair<std::uint64_t, host_name>> ranked;
+    ranked.reserve(dispatchers.size());
     for (const host_name& it : dispatchers) {
         ranked.emplace_back(rendezvous_weight(it, board.self.host.text()), it);
     }
--- a/packages/platform/src/outbound/idle_connections.cpp
+++ b/packages/platform/src/outbound/idle_connections.cpp
@@ -1,5 +1,6 @@
 #include "idle_connections.hpp"
 
+#include <ranges>
 #include <vector>
 
 namespace papayafall::detail {
@@ -12,9 +13,9 @@
 outbound_connection_ptr idle_connections::take(const endpoint& server, time_point now)
 {
     close_expired(now);
-    for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
-        if (it->server() == server) {
-            return unlink(*it);
+    for (outbound_connection& it : connections_ | std::views::reverse) {
+        if (it.server() == server) {
+            return unlink(it);
         }
     }
     return nullptr;
