--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -287,6 +287,9 @@
         return;
     }
     const auto position = static_cast<std::int64_t>(order.claim_position(board.self.host, number));
+    if (holder_leaving && known->listed && position > 0) {
+        return; // the first one claims now; if it does not, the holder releases the cell
+    }
     duration delay = claim_stagger * position;
     if (!own_zone && !holder_leaving) {
         const bool was_linked = known == nullptr || board.peers.contains(known->claim.holder);
--- a/packages/core/tests/jobs/unit-worker_cells.cpp
+++ b/packages/core/tests/jobs/unit-worker_cells.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(a_stronger_host_claims_the_cell_of_a_weak_live_holder);
     CPPUNIT_TEST(an_equally_strong_host_does_not_claim_a_held_cell);
     CPPUNIT_TEST(the_strongest_host_claims_first);
+    CPPUNIT_TEST(only_the_strongest_host_claims_from_a_leaving_holder);
     CPPUNIT_TEST(a_fenced_holder_drops_the_cell);
     CPPUNIT_TEST(a_holder_keeps_starting_runs_without_the_store);
     CPPUNIT_TEST(a_lapsed_claim_is_renewed_with_a_higher_token);
@@ -179,6 +180,32 @@
         }
     }
 
+    void only_the_strongest_host_claims_from_a_leaving_holder()
+    {
+        for (const std::int64_t it :
+             {job_fixture::host_cpu_millis / 2, job_fixture::host_cpu_millis * 2}) {
+            setUp();
+            list_other_holder(true, job_fixture::host_cpu_millis);
+            fixture_->deliver(host_listed{{.host = host_name("entry-3"),
+                                           .zone = zone_name("zone-a"),
+                                           .incarnation = incarnation_id(6),
+                                           .cpu_millis = it}});
+            fixture_->advance(std::chrono::seconds(3));
+            fixture_->deliver(host_listed{{.host = other_host,
+                                           .zone = zone_name("zone-a"),
+                                           .incarnation = other_incarnation,
+                                           .leaving = true,
+                                           .cpu_millis = job_fixture::host_cpu_millis}});
+            fixture_->advance(milliseconds(1400));
+            const std::size_t expected = it < job_fixture::host_cpu_millis ? 1 : 0;
+            CPPUNIT_ASSERT_EQUAL(expected, fixture_->take_actions<claim_cell>().size());
+            // Nobody has claimed it, so the holder has released it.
+            fixture_->deliver(claim_unlisted{job_fixture::own_cell()});
+            fixture_->advance(milliseconds(800));
+            CPPUNIT_ASSERT(expected == 1 || !fixture_->take_actions<claim_cell>().empty());
+        }
+    }
+
     void a_fenced_holder_drops_the_cell()
     {
         start_single_run();
