--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -1,6 +1,6 @@
 #include "papayafall/core/jobs/controllers/cell_controller.hpp"
 
-#include "papayafall/core/policies/rendezvous_hash.hpp"
+#include "zone_claim_order.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -29,10 +29,6 @@
 /// Time after the last change of a claim, or after the store was reached, before a better placed
 /// host claims the cell from its live holder.
 constexpr duration handover_request_delay = milliseconds(1000);
-/// Ratio of processor time from which a host counts as stronger than another.
-constexpr std::int64_t stronger_host_cpu_ratio = 2;
-/// Number of workers for each host that shares the cells of a zone.
-constexpr std::ptrdiff_t workers_per_sharing_host = 64;
 /// Time within which the holder of a listed claim has to be listed itself.
 constexpr duration holder_listing_grace = milliseconds(300);
 /// Time after which a claim without an answer is sent again.
@@ -67,77 +63,6 @@
     return entry != nullptr && entry->leaving;
 }
 
-/// A host that may claim cells. Hosts with more processor time come first; a hash breaks ties.
-struct claimant {
-    std::int64_t cpu_millis = 0;
-    std::uint64_t tie_break_hash = 0;
-    host_name host;
-
-    auto operator<=>(const claimant&) const = default;
-};
-
-/// Order in which hosts claim the cells of a zone.
-struct zone_claim_order {
-    std::vector<claimant> claimants; ///< in the order in which they claim
-    std::size_t sharing_count = 1;   ///< number of first claimants that share the cells
-    bool has_hosts_in_zone = false;  ///< the zone has hosts, and this host is in another zone
-
-    auto operator<=>(const zone_claim_order&) const = default;
-
-    const host_name& preferred_holder(std::uint32_t cell) const
-    {
-        return claimants[cell % sharing_count].host;
-    }
-
-    /// Number of hosts that claim a cell before `host` does.
-    std::size_t claim_position(const host_name& host, std::uint32_t cell) const
-    {
-        const auto found = std::find_if(claimants.begin(), claimants.end(),
-                                        [&](const claimant& it) { return it.host == host; });
-        const auto rank = static_cast<std::size_t>(found - claimants.begin());
-        return rank < sharing_count ? (rank + sharing_count - cell % sharing_count) % sharing_count
-                                    : rank;
-    }
-};
-
-/// Number of hosts that share the cells of a zone. It grows with the number of workers; hosts that
-/// are much weaker than the first claimant are left out.
-std::size_t count_sharing_hosts(const job_board& board, const zone_name& zone,
-                                const std::vector<claimant>& claimants)
-{
-    const auto workers = std::count_if(board.workers.begin(), board.workers.end(),
-                                       [&](const auto& it) { return (*it.value).zone == zone; });
-    const auto strong = std::count_if(claimants.begin(), claimants.end(), [&](const claimant& it) {
-        return it.cpu_millis * stronger_host_cpu_ratio > claimants.front().cpu_millis;
-    });
-    const auto wanted = (workers + workers_per_sharing_host - 1) / workers_per_sharing_host;
-    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, std::min(wanted, strong)));
-}
-
-zone_claim_order make_claim_order(const job_board& board, const zone_name& zone)
-{
-    const bool own_zone = zone == board.self.zone;
-    zone_claim_order order;
-    const auto add = [&](const host_name& host, std::int64_t cpu_millis) {
-        order.claimants.push_back({cpu_millis, rendezvous_weight(host, zone.text()), host});
-    };
-    add(board.self.host, board.self.cpu_millis);
-    for (const auto& it : board.hosts) {
-        const host_entry& entry = it.value;
-        if (entry.host == board.self.host || entry.leaving) {
-            continue;
-        }
-        if ((entry.zone == zone) == own_zone) {
-            add(entry.host, entry.cpu_millis);
-        } else if (!own_zone) {
-            order.has_hosts_in_zone = true;
-        }
-    }
-    std::sort(order.claimants.begin(), order.claimants.end(), std::greater<>());
-    order.sharing_count = count_sharing_hosts(board, zone, order.claimants);
-    return order;
-}
-
 /// Number of cells of a zone that a host holds, by the claims in the store.
 std::size_t count_claimed_cells(const job_board& board, const host_name& host,
                                 const zone_name& zone)
--- a/packages/platform/src/outbound/idle_connections.cpp
+++ b/packages/platform/src/outbound/idle_connections.cpp
@@ -1,6 +1,5 @@
 #include "idle_connections.hpp"
 
-#include <ranges>
 #include <vector>
 
 namespace papayafall::detail {
@@ -13,7 +12,7 @@
 outbound_connection_ptr idle_connections::take(const endpoint& server, time_point now)
 {
     close_expired(now);
-    for (outbound_connection& it : connections_ | std::views::reverse) {
+    for (outbound_connection& it : connections_) {
         if (it.server() == server) {
             return unlink(it);
         }
@@ -25,7 +24,7 @@
 {
     connection->last_response_at = now;
     intrusive_ptr_add_ref(connection.get());
-    connections_.push_back(*connection);
+    connections_.push_front(*connection);
 }
 
 void idle_connections::discard(const endpoint& server, time_point since)
@@ -45,7 +44,7 @@
 time_point idle_connections::next_expiry() const noexcept
 {
     return connections_.empty() ? no_deadline
-                                : connections_.front().last_response_at + max_idle_time_;
+                                : connections_.back().last_response_at + max_idle_time_;
 }
 
 outbound_connection_ptr idle_connections::unlink(outbound_connection& it)
--- a/packages/platform/src/outbound/idle_connections.hpp
+++ b/packages/platform/src/outbound/idle_connections.hpp
@@ -58,7 +58,7 @@
     void close_if(const std::function<bool(const outbound_connection&)>& condition);
 
     duration max_idle_time_;
-    idle_list connections_; ///< least recently used first; holds a reference to each
+    idle_list connections_; ///< most recently used first; holds a reference to each
 };
 
 } // namespace papayafall::detail
