--- a/packages/core/include/papayafall/core/jobs/state/membership_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/membership_state.hpp
@@ -9,9 +9,9 @@
 
 /// How closely the workers in the store are followed.
 enum class worker_view : std::uint8_t {
-    current,  ///< all changes are followed
-    catching, ///< the workers are being listed, and will then be followed
-    listed,   ///< listed from time to time
+    current,     ///< all changes are followed
+    catching_up, ///< the workers are being listed, and will then be followed
+    listed,      ///< listed from time to time
 };
 
 /// Claim of a cell as last seen in the store.
--- a/packages/core/src/jobs/controllers/directory_controller.cpp
+++ b/packages/core/src/jobs/controllers/directory_controller.cpp
@@ -38,7 +38,7 @@
         mark_worker_unlisted(board, it->id, now.steady);
     }
     if (std::holds_alternative<workers_followed>(incoming) &&
-        *board.view_of_workers == worker_view::catching) {
+        *board.view_of_workers == worker_view::catching_up) {
         view_of_workers_.put(worker_view::current);
     }
     if (const auto* it = std::get_if<host_listed>(&incoming)) {
@@ -82,7 +82,7 @@
     if (needed == follows || !board.lifecycle->store_reachable) {
         return;
     }
-    view_of_workers_.put(needed ? worker_view::catching : worker_view::listed);
+    view_of_workers_.put(needed ? worker_view::catching_up : worker_view::listed);
     board.outbox.post(follow_workers{needed});
     board.outbox.post(
         log_decision{"workers_followed", "workers", {{"follow", needed ? "1" : "0"}}});
