--- a/packages/core/tests/random/jobs/job_history.hpp
+++ b/packages/core/tests/random/jobs/job_history.hpp
@@ -47,6 +47,9 @@
     /// Records a line that is printed with a later failure.
     void note(std::string line, time_point now);
 
+    /// Reports a violation that was seen elsewhere, with the last notes.
+    [[noreturn]] void fail(const std::string& what, time_point now) const;
+
     std::uint64_t starts() const noexcept { return starts_; }
 
     const std::map<jobs::job_outcome, std::uint64_t>& outcomes() const noexcept
@@ -71,8 +74,6 @@
             running_runs;
     };
 
-    [[noreturn]] void fail(const std::string& what, time_point now) const;
-
     std::map<jobs::job_id, job_record> jobs_;
     std::map<jobs::job_outcome, std::uint64_t> outcomes_;
     std::deque<std::string> notes_;
--- a/packages/daemon/tests/support/process_fleet.cpp
+++ b/packages/daemon/tests/support/process_fleet.cpp
@@ -7,11 +7,10 @@
 #include "papayafall/platform/store/keys.hpp"
 #include "papayafall/wire/configuration/host_list_json.hpp"
 #include "papayafall/wire/http/request_key_codec.hpp"
+#include "support/free_port.hpp"
 #include "support/test_application.hpp"
 
 #include <QFile>
-#include <QTcpServer>
-#include <QUdpSocket>
 
 #include <algorithm>
 #include <csignal>
@@ -31,24 +30,6 @@
 constexpr std::size_t seats_of_zone_a = 8;
 constexpr std::size_t targets_per_zone = 2;
 
-/// Finds a loopback port that is free for TCP and UDP, below the ephemeral port range.
-std::uint16_t find_free_port()
-{
-    constexpr int first = 20000;
-    constexpr int count = 12000;
-    static int next = static_cast<int>(QCoreApplication::applicationPid() * 97 % count);
-    for (int n = 0; n < count; ++n) {
-        next = (next + 1) % count;
-        const auto port = static_cast<std::uint16_t>(first + next);
-        QTcpServer tcp;
-        QUdpSocket udp;
-        if (tcp.listen(QHostAddress::LocalHost, port) && udp.bind(QHostAddress::LocalHost, port)) {
-            return port;
-        }
-    }
-    throw std::runtime_error("no free port");
-}
-
 void write_file(const QString& path, const std::string& text)
 {
     QFile file(path);
