Show which configuration is in force on a host, since when it is confirmed, and what it replaced

Neither logs nor metrics told a host that had not heard of a change from one that had refused it. configuration_applied and configuration_ignored name the version in force and the time since the store confirmed it, refusals for an unknown queue carry the same, and two gauges show version and age. A controller of its own decides on the version.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -68,8 +68,11 @@
     cell<lifecycle_state> lifecycle;
     cell<bool> published_readiness; ///< as last reported to the load balancer
 
-    // written by directory_controller
+    // written by job_configuration_controller
     cell<queue_configuration> configuration;
+    cell<time_point> configuration_confirmed_at; ///< by the store; the epoch: never
+
+    // written by directory_controller
     table<worker_id, worker> workers;
     table<worker_id, time_point> unlisted_workers; ///< instant at which each is removed
     cell<worker_view> view_of_workers;             ///< at the start, every change is followed
--- a/packages/core/include/papayafall/core/jobs/controllers/directory_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/directory_controller.hpp
@@ -4,15 +4,14 @@
 
 namespace papayafall::jobs {
 
-/// Records what the platform's store lists: the configuration, workers, entry hosts and claims.
+/// Records what the platform's store lists: workers, entry hosts and claims.
 ///
 /// Changes of workers are followed only by hosts that hold a cell or are about to claim one: each
 /// worker changes its entry all the time, which would cost small hosts most of their processor
 /// time.
 ///
 /// Workers whose entries lapsed during an outage of the store are kept for a short time, in which
-/// they can list themselves again. An older version of the configuration never replaces a newer
-/// one.
+/// they can list themselves again.
 class directory_controller : public job_controller {
   public:
     explicit directory_controller(job_board& board);
@@ -23,7 +22,6 @@
     void on_tick(job_board& board, const clock_reading& now) override;
 
   private:
-    void apply_configuration(job_board& board, const queue_configuration& configuration);
     void review_view_of_workers(job_board& board, time_point now);
     void record_worker(job_board& board, const worker& entry);
     void mark_worker_unlisted(job_board& board, const worker_id& id, time_point now);
@@ -31,7 +29,6 @@
                       time_point now);
     void mark_claim_unlisted(job_board& board, const cell_id& cell, time_point now);
 
-    cell_writer<queue_configuration> configuration_;
     table_writer<worker_id, worker> workers_;
     table_writer<worker_id, time_point> unlisted_workers_;
     cell_writer<worker_view> view_of_workers_;
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -116,6 +116,13 @@
 /// Closes all connections with other entry hosts.
 struct close_links {};
 
+// Actions towards the other hosts and the operators.
+
+/// Tells which version of the configuration is in force on this host from now on.
+struct publish_configuration_version {
+    std::uint64_t version = 0;
+};
+
 // Actions towards workers.
 
 /// Destination of a call to a worker, with the fencing token that authorises it.
@@ -181,7 +188,7 @@
     std::variant<answer_job, answer_queue_length, answer_job_status, follow_workers, claim_cell,
                  release_cell, update_host_entry, connect_peer, disconnect_peer, delegate_job,
                  withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
-                 start_run, stop_run, fetch_report, close_worker_connections, set_readiness,
-                 stop_dispatcher, log_decision>;
+                 publish_configuration_version, start_run, stop_run, fetch_report,
+                 close_worker_connections, set_readiness, stop_dispatcher, log_decision>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -24,6 +24,9 @@
     queue_configuration configuration;
 };
 
+/// The store confirmed that the configuration last read is the newest.
+struct configuration_confirmed {};
+
 /// A worker was added to the store, or its entry has changed.
 struct worker_listed {
     worker entry;
@@ -291,15 +294,14 @@
     time_point lease_expired_by; ///< when the lease has certainly expired
 };
 
-using job_event =
-    std::variant<store_reached, store_lost, configuration_read, worker_listed, worker_unlisted,
-                 workers_followed, host_listed, host_unlisted, claim_listed, claim_unlisted,
-                 claim_answered, job_submitted, queue_length_requested, job_status_requested,
-                 call_abandoned, peer_connected, peer_lost, load_reported, delegation_answered,
-                 delegation_received, delegation_withdrawn, delegator_lost, worker_released,
-                 start_answered, stop_answered, report_received, report_failed, stop_requested,
-                 process_resumed, process_stopping, cell_acquired, cell_lost, run_finished,
-                 run_stalled, run_time_measured, worker_runs_terminated, worker_restarted,
-                 worker_ownership_lost, job_finished, job_delegated, lease_extended>;
+using job_event = std::variant<
+    store_reached, store_lost, configuration_read, configuration_confirmed, worker_listed,
+    worker_unlisted, workers_followed, host_listed, host_unlisted, claim_listed, claim_unlisted,
+    claim_answered, job_submitted, queue_length_requested, job_status_requested, call_abandoned,
+    peer_connected, peer_lost, load_reported, delegation_answered, delegation_received,
+    delegation_withdrawn, delegator_lost, worker_released, start_answered, stop_answered,
+    report_received, report_failed, stop_requested, process_resumed, process_stopping,
+    cell_acquired, cell_lost, run_finished, run_stalled, run_time_measured, worker_runs_terminated,
+    worker_restarted, worker_ownership_lost, job_finished, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/directory_controller.cpp
+++ b/packages/core/src/jobs/controllers/directory_controller.cpp
@@ -18,8 +18,7 @@
 } // namespace
 
 directory_controller::directory_controller(job_board& board)
-    : configuration_(board.configuration.claim()), workers_(board.workers.claim()),
-      unlisted_workers_(board.unlisted_workers.claim()),
+    : workers_(board.workers.claim()), unlisted_workers_(board.unlisted_workers.claim()),
       view_of_workers_(board.view_of_workers.claim()), hosts_(board.hosts.claim()),
       stored_claims_(board.stored_claims.claim())
 {
@@ -28,9 +27,6 @@
 void directory_controller::on_event(job_board& board, const job_event& incoming,
                                     const clock_reading& now)
 {
-    if (const auto* it = std::get_if<configuration_read>(&incoming)) {
-        apply_configuration(board, it->configuration);
-    }
     if (const auto* it = std::get_if<worker_listed>(&incoming)) {
         record_worker(board, it->entry);
     }
@@ -88,18 +84,6 @@
         log_decision{"workers_followed", "workers", {{"follow", needed ? "1" : "0"}}});
 }
 
-void directory_controller::apply_configuration(job_board& board,
-                                               const queue_configuration& configuration)
-{
-    if (configuration->version <= (*board.configuration)->version) {
-        return;
-    }
-    configuration_.put(configuration);
-    board.outbox.post(log_decision{"configuration_applied",
-                                   std::to_string(configuration->version),
-                                   {{"queues", std::to_string(configuration->queues.size())}}});
-}
-
 void directory_controller::record_worker(job_board& board, const worker& entry)
 {
     const worker* known = board.workers.find(entry->id);
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/intake_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/configuration_controller.hpp"
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
 #include <algorithm>
@@ -114,10 +115,11 @@
     }
     const queue_definition* queue = configuration.match(submitted.hostname, submitted.path);
     if (queue == nullptr) {
-        board.outbox.post(log_decision{
-            "job_refused",
-            id,
-            {{"reason", "unknown_queue"}, {"version", std::to_string(configuration.version)}}});
+        board.outbox.post(log_decision{"job_refused",
+                                       id,
+                                       {{"reason", "unknown_queue"},
+                                        {"version", std::to_string(configuration.version)},
+                                        {"confirmed_ms_ago", configuration_age(board, now)}}});
         board.outbox.post(answer_job{submitted.call, job_outcome::unknown_queue, now, now});
         return;
     }
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/jobs/engine/job_engine.hpp"
 
 #include "papayafall/core/jobs/controllers/cell_controller.hpp"
+#include "papayafall/core/jobs/controllers/configuration_controller.hpp"
 #include "papayafall/core/jobs/controllers/directory_controller.hpp"
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 #include "papayafall/core/jobs/controllers/health_controller.hpp"
@@ -30,6 +31,7 @@
 {
     auto board = std::make_unique<job_board>(self, parameters);
     std::vector<std::unique_ptr<job_controller>> controllers;
+    controllers.push_back(std::make_unique<job_configuration_controller>(*board));
     controllers.push_back(std::make_unique<directory_controller>(*board));
     controllers.push_back(std::make_unique<job_lifecycle_controller>(*board));
     controllers.push_back(std::make_unique<peer_controller>(*board));
