Notice changes in the store within contact_ms after a silence

Callers saw requests handled by an older configuration, or a new queue refused with 404, more than contact_ms after the host had its path to the store back.

Cause: a watch that was sent just before the path came back was given up after its wait and the time for an answer, 2.9 s; the retry waited 0.2 s more, and then went over another kept connection, which could be dead as well and take 2.9 s again. Class: bounds of steps in a row that are each below the limit and together above it. The watches of the workers and of the other hosts share the mirror, and with it the mend.

Ruled out: loss by a compacted history, which the watch answers with 410 and a new listing (a_change_missed_by_a_watch_is_applied).

--- a/packages/daemon/include/papayafall/daemon/kept/http_connection_pool.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/http_connection_pool.hpp
@@ -26,6 +26,9 @@
     /// order.
     void on_tick(time_point now);
 
+    /// Closes the connections that carry no call.
+    void close_idle();
+
     /// Closes all connections; calls in progress and queued calls fail as broken.
     void close();
 
--- a/packages/daemon/src/kept/http_connection_pool.cpp
+++ b/packages/daemon/src/kept/http_connection_pool.cpp
@@ -36,6 +36,15 @@
     }
 }
 
+void http_connection_pool::close_idle()
+{
+    for (persistent_connection& it : connections_) {
+        if (it.idle()) {
+            it.close();
+        }
+    }
+}
+
 void http_connection_pool::close()
 {
     for (std::deque<waiting_call> dropped = std::exchange(waiting_calls_, {});
