Pass the configuration on between linked hosts

Callers saw a host go back to an older configuration: their job was run by a newer version on another host, and the next request to the same host was refused or run by its older one. A host that the store turns away, or that is cut off from it, stayed old although its neighbours knew better.

Cause: a job's order carries its version to the dispatcher, but nothing carries a version back, and no message between hosts held a configuration. Class: knowledge that travels with the work in one direction only.

random-job-runs changes the configuration during its faults and fails when a host keeps an older one than a linked host for 1.5 s. The protocol of the links has version 3, so links between a host of this version and an older one are refused.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -71,6 +71,9 @@
     // written by job_configuration_controller
     cell<queue_configuration> configuration;
     cell<time_point> configuration_confirmed_at; ///< by the store; the epoch: never
+    /// Newer versions that linked hosts offer and were not asked for yet.
+    table<link_number, std::uint64_t> offered_configurations;
+    cell<time_point> configuration_request_due{no_deadline};
 
     // written by directory_controller
     table<worker_id, worker> workers;
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/jobs/state/job_state.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
+#include "papayafall/core/jobs/values/queue_configuration.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
 
 #include <chrono>
@@ -116,6 +117,17 @@
 /// Closes all connections with other entry hosts.
 struct close_links {};
 
+/// Asks the host at the other end of a link for its configuration.
+struct request_configuration {
+    link_number link;
+};
+
+/// Sends the configuration in force to the host at the other end of a link.
+struct send_configuration {
+    link_number link;
+    queue_configuration configuration;
+};
+
 // Actions towards the other hosts and the operators.
 
 /// Tells which version of the configuration is in force on this host from now on.
@@ -188,7 +200,8 @@
     std::variant<answer_job, answer_queue_length, answer_job_status, follow_workers, claim_cell,
                  release_cell, update_host_entry, connect_peer, disconnect_peer, delegate_job,
                  withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
-                 publish_configuration_version, start_run, stop_run, fetch_report,
-                 close_worker_connections, set_readiness, stop_dispatcher, log_decision>;
+                 request_configuration, send_configuration, publish_configuration_version,
+                 start_run, stop_run, fetch_report, close_worker_connections, set_readiness,
+                 stop_dispatcher, log_decision>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -22,6 +22,7 @@
 /// The configuration was read for the first time, or has changed.
 struct configuration_read {
     queue_configuration configuration;
+    host_name sender; ///< host that sent it; empty: it was read from the store
 };
 
 /// The store confirmed that the configuration last read is the newest.
@@ -145,6 +146,17 @@
     link_number link;
 };
 
+/// A linked host tells which version of the configuration is in force there.
+struct configuration_offered {
+    link_number link;
+    std::uint64_t version = 0;
+};
+
+/// A linked host asks for the configuration that is in force on this one.
+struct configuration_requested {
+    link_number link;
+};
+
 /// The previous holder of a worker's cell has no more runs on the worker.
 struct worker_released {
     worker_id id;
@@ -299,9 +311,10 @@
     worker_unlisted, workers_followed, host_listed, host_unlisted, claim_listed, claim_unlisted,
     claim_answered, job_submitted, queue_length_requested, job_status_requested, call_abandoned,
     peer_connected, peer_lost, load_reported, delegation_answered, delegation_received,
-    delegation_withdrawn, delegator_lost, worker_released, start_answered, stop_answered,
-    report_received, report_failed, stop_requested, process_resumed, process_stopping,
-    cell_acquired, cell_lost, run_finished, run_stalled, run_time_measured, worker_runs_terminated,
-    worker_restarted, worker_ownership_lost, job_finished, job_delegated, lease_extended>;
+    delegation_withdrawn, delegator_lost, configuration_offered, configuration_requested,
+    worker_released, start_answered, stop_answered, report_received, report_failed, stop_requested,
+    process_resumed, process_stopping, cell_acquired, cell_lost, run_finished, run_stalled,
+    run_time_measured, worker_runs_terminated, worker_restarted, worker_ownership_lost,
+    job_finished, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -10,7 +10,8 @@
 
 namespace papayafall::jobs {
 
-/// Identifies the incoming connection of a delegating host; 0 stands for this process itself.
+/// Identifies a connection with another host within this process. As the origin of a job, 0 stands
+/// for this process itself.
 using link_number = basic_number<struct link_tag>;
 
 /// Where a job came from, and who is told its outcome.
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -318,7 +318,7 @@
     void a_delegated_job_of_a_removed_queue_is_answered_as_unknown_queue()
     {
         queue_configuration_fields none{.version = 5};
-        fixture_->deliver(configuration_read{none});
+        fixture_->deliver(configuration_read{none, {}});
         const job_origin origin{.link = link_number(3), .delegation = delegation_id(1)};
         fixture_->deliver(delegation_received{origin, make_order("00000000000000b1", 1)});
         const auto answers = fixture_->take_actions<answer_delegation>();
--- a/packages/core/tests/random/jobs/dispatcher_model.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.cpp
@@ -1,5 +1,6 @@
 #include "random/jobs/dispatcher_model.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <type_traits>
 #include <utility>
@@ -38,15 +39,8 @@
               .zone = self_.zone,
               .incarnation = self_.incarnation,
               .cpu_millis = self_.cpu_millis};
-    jobs::queue_configuration_fields queues{.version = 1};
-    queues.queues.push_back({.name = jobs::queue_name("check"),
-                             .hostname = "desk.example",
-                             .path_prefix = "/",
-                             .service = service_name("desk"),
-                             .max_attempts = 3,
-                             .objective_factor = 2,
-                             .objective_offset = milliseconds(200)});
-    deliver(jobs::configuration_read{std::move(queues)});
+    last_store_configuration_ = 0;
+    outdated_since_ = no_deadline;
     tick(generation_);
     poll_store(generation_);
     reconnect_links(generation_);
@@ -185,6 +179,7 @@
                 lease_ = context_.store.create_lease();
                 context_.store.put_host(entry_, lease_);
             }
+            read_configuration();
             read_store();
         } else if (store_reachable_ &&
                    context_.time.now() >= last_store_contact_at_ + store_timeout) {
@@ -245,6 +240,49 @@
     }
 }
 
+void dispatcher_model::read_configuration()
+{
+    const std::uint64_t version = context_.store.configuration_version();
+    if (std::exchange(last_store_configuration_, version) == version) {
+        return;
+    }
+    jobs::queue_configuration_fields queues{.version = version};
+    queues.queues.push_back({.name = jobs::queue_name("check"),
+                             .hostname = "desk.example",
+                             .path_prefix = "/",
+                             .service = service_name("desk"),
+                             .max_attempts = 3,
+                             .objective_factor = 2,
+                             .objective_offset = milliseconds(200)});
+    deliver(jobs::configuration_read{std::move(queues), {}});
+}
+
+std::uint64_t dispatcher_model::configuration_version() const
+{
+    return alive() ? (*engine_->board().configuration)->version : 0;
+}
+
+void dispatcher_model::check_configuration()
+{
+    constexpr duration max_outdated_time = milliseconds(1500);
+    const auto is_newer = [this](const std::string& host, const link_model& link) {
+        return link.up() && context_.hosts.at(host_name(host))->configuration_version() >
+                                configuration_version();
+    };
+    bool outdated = false;
+    for (const auto& [host, it] : outgoing_links_) {
+        outdated = outdated || is_newer(host, *it);
+    }
+    for (const auto& [number, it] : incoming_links_) {
+        outdated = outdated || is_newer(it->opener(), *it);
+    }
+    const time_point now = context_.time.now();
+    outdated_since_ = outdated ? std::min(outdated_since_, now) : no_deadline;
+    if (outdated && now > outdated_since_ + max_outdated_time) {
+        context_.history.fail(name() + " keeps an older configuration than a linked host", now);
+    }
+}
+
 void dispatcher_model::reconnect_links(std::uint64_t generation)
 {
     if (generation != generation_) {
@@ -275,6 +313,9 @@
     outgoing_links_[entry.host.text()] = link;
     found->second->accept(link);
     link->open();
+    link->send_to_accepter(jobs::configuration_offered{link->number(), configuration_version()});
+    link->send_to_opener(
+        jobs::configuration_offered{link->number(), found->second->configuration_version()});
 }
 
 void dispatcher_model::perform_actions()
@@ -395,6 +436,40 @@
     }
 }
 
+void dispatcher_model::perform(const jobs::publish_configuration_version& it)
+{
+    for (const auto& [host, link] : outgoing_links_) {
+        link->send_to_accepter(jobs::configuration_offered{link->number(), it.version});
+    }
+    for (const auto& [number, link] : incoming_links_) {
+        link->send_to_opener(jobs::configuration_offered{number, it.version});
+    }
+}
+
+std::function<void(const jobs::job_event&)>
+dispatcher_model::sender_of(jobs::link_number number) const
+{
+    if (const auto it = incoming_links_.find(number); it != incoming_links_.end()) {
+        return [link = it->second](const jobs::job_event& event) { link->send_to_opener(event); };
+    }
+    for (const auto& [host, it] : outgoing_links_) {
+        if (it->number() == number) {
+            return [link = it](const jobs::job_event& event) { link->send_to_accepter(event); };
+        }
+    }
+    return [](const jobs::job_event&) {};
+}
+
+void dispatcher_model::perform(const jobs::request_configuration& it)
+{
+    sender_of(it.link)(jobs::configuration_requested{it.link});
+}
+
+void dispatcher_model::perform(const jobs::send_configuration& it)
+{
+    sender_of(it.link)(jobs::configuration_read{it.configuration, self_.host});
+}
+
 void dispatcher_model::perform(const jobs::close_links& /*it*/)
 {
     // In the process, another thread closes the connections after delivering what it has read from
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -69,6 +69,10 @@
     /// Accepts a connection from another host.
     void accept(const std::shared_ptr<link_model>& link);
     link_end make_link_end();
+    /// Version of the configuration in force; 0 if the host is down or has none.
+    std::uint64_t configuration_version() const;
+    /// Fails if a host that is linked to this one has had a newer configuration for long.
+    void check_configuration();
 
   private:
     clock_reading reading() const;
@@ -77,6 +81,9 @@
     void tick(std::uint64_t generation);
     void poll_store(std::uint64_t generation);
     void read_store();
+    void read_configuration();
+    /// Function that sends to the other end of a link.
+    std::function<void(const jobs::job_event&)> sender_of(jobs::link_number number) const;
     void reconnect_links(std::uint64_t generation);
     void connect(const jobs::host_entry& entry);
     void perform_actions();
@@ -93,6 +100,9 @@
     void perform(const jobs::answer_delegation& it);
     void perform(const jobs::publish_load& it);
     void perform(const jobs::release_worker& it);
+    void perform(const jobs::publish_configuration_version& it);
+    void perform(const jobs::request_configuration& it);
+    void perform(const jobs::send_configuration& it);
     void perform(const jobs::close_links& it);
     void perform(const jobs::start_run& it);
     void perform(const jobs::stop_run& it);
@@ -131,6 +141,8 @@
     store_model::lease_id lease_ = 0;
     bool store_reachable_ = false;
     time_point last_store_contact_at_{};
+    std::uint64_t last_store_configuration_ = 0;
+    time_point outdated_since_ = no_deadline; ///< a linked host has had a newer configuration
     std::map<std::string, jobs::host_entry> configured_peers_;
     std::map<std::string, std::shared_ptr<link_model>> outgoing_links_;
     std::map<jobs::link_number, std::shared_ptr<link_model>> incoming_links_;
--- a/packages/core/tests/random/jobs/job_world.cpp
+++ b/packages/core/tests/random/jobs/job_world.cpp
@@ -82,7 +82,9 @@
     time_.after(warm_up_time, [this] {
         schedule_submissions();
         schedule_faults();
+        schedule_configuration_changes();
     });
+    schedule_configuration_checks();
     time_.run(time_.now() + warm_up_time + length);
     draining_ = true;
     clear_faults();
@@ -190,6 +192,24 @@
     time_.after(rng_.milliseconds(200, 6000), [this] { schedule_faults(); });
 }
 
+void job_world::schedule_configuration_changes()
+{
+    if (draining_) {
+        return;
+    }
+    store_.change_configuration();
+    time_.after(rng_.milliseconds(100, 8000), [this] { schedule_configuration_changes(); });
+}
+
+void job_world::schedule_configuration_checks()
+{
+    constexpr duration check_period = milliseconds(100);
+    for (const auto& [name, it] : hosts_) {
+        it->check_configuration();
+    }
+    time_.after(check_period, [this] { schedule_configuration_checks(); });
+}
+
 void job_world::inject_fault()
 {
     ++faults_;
--- a/packages/core/tests/random/jobs/job_world.hpp
+++ b/packages/core/tests/random/jobs/job_world.hpp
@@ -53,6 +53,8 @@
     jobs::job_spec make_job();
     void schedule_faults();
     void inject_fault();
+    void schedule_configuration_changes();
+    void schedule_configuration_checks();
     void kill_host(dispatcher_model& host);
     void cut_network_paths();
     void make_store_unavailable();
--- a/packages/core/tests/random/jobs/link_model.cpp
+++ b/packages/core/tests/random/jobs/link_model.cpp
@@ -31,6 +31,12 @@
     check_silence();
 }
 
+bool link_model::up() const
+{
+    return !sides_[0].lost && !sides_[1].lost && sides_[0].end.running() &&
+           sides_[1].end.running() && network_.open(sides_[0].end.host, sides_[1].end.host);
+}
+
 void link_model::send(std::size_t to, const jobs::job_event& it)
 {
     if (sides_[1 - to].lost || sides_[to].lost) {
--- a/packages/core/tests/random/jobs/link_model.hpp
+++ b/packages/core/tests/random/jobs/link_model.hpp
@@ -37,6 +37,8 @@
 
     jobs::link_number number() const noexcept { return number_; }
 
+    const std::string& opener() const noexcept { return sides_[0].end.host; }
+
     const std::string& accepter() const noexcept { return sides_[1].end.host; }
 
     bool opener_lost() const noexcept { return sides_[0].lost; }
@@ -44,6 +46,9 @@
     /// Tells the opener that the link is connected, and starts the silence checks.
     void open();
 
+    /// Whether messages get through in both directions.
+    bool up() const;
+
     void send_to_accepter(const jobs::job_event& it) { send(1, it); }
 
     void send_to_opener(const jobs::job_event& it) { send(0, it); }
--- a/packages/core/tests/random/jobs/store_model.hpp
+++ b/packages/core/tests/random/jobs/store_model.hpp
@@ -48,6 +48,11 @@
                                               const jobs::host_entry& holder, lease_id lease);
     void release(const jobs::release_cell& request);
 
+    /// Version of the operators' configuration.
+    std::uint64_t configuration_version() const noexcept { return configuration_version_; }
+
+    void change_configuration() { ++configuration_version_; }
+
     /// Returns all entries whose leases have not expired.
     const std::map<std::string, item>& items();
 
@@ -58,6 +63,7 @@
     scheduler& time_;
     bool up_ = true;
     std::uint64_t revision_ = 0;
+    std::uint64_t configuration_version_ = 1;
     lease_id last_lease_ = 0;
     std::map<lease_id, time_point> leases_; ///< expiry of each lease
     std::map<std::string, item> items_;
--- a/packages/core/tests/support/job_fixture.hpp
+++ b/packages/core/tests/support/job_fixture.hpp
@@ -91,7 +91,7 @@
                              .max_attempts = max_attempts,
                              .objective_factor = 2,
                              .objective_offset = std::chrono::milliseconds(100)});
-        deliver(jobs::configuration_read{std::move(it)});
+        deliver(jobs::configuration_read{std::move(it), {}});
     }
 
     static jobs::cell_id own_cell() { return jobs::cell_id("zone-a/0"); }
--- a/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
+++ b/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
@@ -64,6 +64,16 @@
     /// Tells a host that this one has no more runs on a worker.
     void release(const release_worker& action);
 
+    /// Tells all linked hosts, now and when a link is opened, which version of the configuration is
+    /// in force here.
+    void publish(const publish_configuration_version& action);
+
+    /// Asks the host at the other end of a link for its configuration.
+    void request(const request_configuration& action);
+
+    /// Sends the configuration to the host at the other end of a link.
+    void send(const send_configuration& action);
+
     /// Closes every link, for example after the process was suspended.
     void close_all();
 
@@ -76,6 +86,8 @@
     class incoming_link;
 
     void accept();
+    /// Link with the given number, or nullptr if it has ended.
+    link* find(link_number number) const;
 
     job_link_options options_;
     message_sink<job_event>& events_;
@@ -83,6 +95,7 @@
     std::map<host_name, std::unique_ptr<outgoing_link>> outgoing_links_;
     std::map<link_number, std::unique_ptr<incoming_link>> incoming_links_;
     link_number last_link_number_;
+    std::uint64_t configuration_version_ = 0; ///< in force here; 0: none
 };
 
 } // namespace papayafall::jobs
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -18,8 +18,10 @@
 /// A TCP connection that carries framed messages, with heartbeats and silence detection.
 class job_links::link {
   public:
-    link(job_links& owner, QTcpSocket* socket) : owner_(owner), socket_(socket)
+    link(job_links& owner, QTcpSocket* socket)
+        : owner_(owner), number_(owner.last_link_number_.next()), socket_(socket)
     {
+        owner.last_link_number_ = number_;
         last_received_at_ = boot_now();
         QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
         QObject::connect(
@@ -37,6 +39,8 @@
         socket_->deleteLater();
     }
 
+    link_number number() const noexcept { return number_; }
+
     bool closed() const noexcept { return closed_; }
 
     void write(const job_message& message)
@@ -78,6 +82,16 @@
     }
 
   protected:
+    /// Tells the other end which version of the configuration is in force here.
+    void write_configuration_version()
+    {
+        if (owner_.configuration_version_ > 0) {
+            write(link_configuration_version{owner_.configuration_version_});
+        }
+    }
+
+    void set_peer(const host_name& host) { peer_ = host; }
+
     job_links& owner() const noexcept { return owner_; }
 
     QTcpSocket& socket() const noexcept { return *socket_; }
@@ -93,6 +107,25 @@
         return boot_time >= last_received_at_ + owner_.options_.silence_timeout;
     }
 
+    /// Handles the messages about the configuration, which go in both directions.
+    /// @return false if the message is another one
+    bool handle_configuration_message(const job_message& message)
+    {
+        if (const auto* it = std::get_if<link_configuration_version>(&message)) {
+            owner_.events_.post(configuration_offered{number_, it->version});
+            return true;
+        }
+        if (std::holds_alternative<link_configuration_request>(message)) {
+            owner_.events_.post(configuration_requested{number_});
+            return true;
+        }
+        if (const auto* it = std::get_if<link_configuration>(&message)) {
+            owner_.events_.post(configuration_read{it->configuration, peer_});
+            return true;
+        }
+        return false;
+    }
+
     void receive()
     {
         const time_point boot_time = boot_now();
@@ -112,7 +145,10 @@
                 if (!size || rest.size() < *size) {
                     break;
                 }
-                on_message(decode_job_frame(rest.substr(0, *size), now));
+                const job_message message = decode_job_frame(rest.substr(0, *size), now);
+                if (!handle_configuration_message(message)) {
+                    on_message(message);
+                }
                 consumed += *size;
             }
             receive_buffer_.erase(0, consumed);
@@ -123,6 +159,8 @@
     }
 
     job_links& owner_;
+    link_number number_;
+    host_name peer_; ///< empty before the hello
     QTcpSocket* socket_;
     QObject context_; ///< drops the signals of the socket that are still queued at the end
     std::string receive_buffer_;
@@ -157,7 +195,9 @@
     {
         if (const auto* it = std::get_if<link_hello>(&message)) {
             handshake_done_ = true;
+            set_peer(it->host);
             owner().events_.post(peer_connected{it->host, it->incarnation});
+            write_configuration_version();
         }
         if (const auto* it = std::get_if<link_load>(&message)) {
             owner().events_.post(load_reported{entry_.host, it->load});
@@ -185,8 +225,7 @@
 /// A link that another host opened and delegates jobs over.
 class job_links::incoming_link : public job_links::link {
   public:
-    incoming_link(job_links& owner, link_number number, QTcpSocket* socket)
-        : link(owner, socket), number_(number)
+    incoming_link(job_links& owner, QTcpSocket* socket) : link(owner, socket)
     {
         set_socket_options(*socket);
     }
@@ -194,14 +233,16 @@
   private:
     void on_message(const job_message& message) override
     {
-        if (std::holds_alternative<link_hello>(message)) {
+        if (const auto* it = std::get_if<link_hello>(&message)) {
+            set_peer(it->host);
             write(link_hello{owner().options_.host, owner().options_.incarnation});
+            write_configuration_version();
         }
         if (const auto* it = std::get_if<link_delegation>(&message)) {
-            owner().events_.post(delegation_received{{number_, it->delegation}, it->order});
+            owner().events_.post(delegation_received{{number(), it->delegation}, it->order});
         }
         if (const auto* it = std::get_if<link_withdrawal>(&message)) {
-            owner().events_.post(delegation_withdrawn{{number_, it->delegation}});
+            owner().events_.post(delegation_withdrawn{{number(), it->delegation}});
         }
         if (const auto* it = std::get_if<link_release>(&message)) {
             owner().events_.post(worker_released{it->worker});
@@ -211,11 +252,9 @@
     void on_closed(const char* reason) override
     {
         write_log(log_level::info, "delegating link lost",
-                  {{"link", number_.value()}, {"reason", reason}});
-        owner().events_.post(delegator_lost{number_});
+                  {{"link", number().value()}, {"reason", reason}});
+        owner().events_.post(delegator_lost{number()});
     }
-
-    link_number number_;
 };
 
 job_links::job_links(const job_link_options& options, message_sink<job_event>& events)
@@ -302,6 +341,52 @@
     }
 }
 
+void job_links::publish(const publish_configuration_version& action)
+{
+    configuration_version_ = action.version;
+    const time_point now = steady_now();
+    const std::string frame = encode_job_frame(link_configuration_version{action.version}, now);
+    for (const auto& [host, it] : outgoing_links_) {
+        it->write_frame(frame, now);
+    }
+    for (const auto& [number, it] : incoming_links_) {
+        it->write_frame(frame, now);
+    }
+}
+
+void job_links::request(const request_configuration& action)
+{
+    if (link* const it = find(action.link)) {
+        it->write(link_configuration_request{});
+    }
+}
+
+void job_links::send(const send_configuration& action)
+{
+    link* const it = find(action.link);
+    if (it == nullptr) {
+        return;
+    }
+    try {
+        it->write(link_configuration{action.configuration});
+    } catch (const message_error& ec) {
+        write_log(log_level::error, "configuration not sent to a host", {{"error", ec.what()}});
+    }
+}
+
+job_links::link* job_links::find(link_number number) const
+{
+    if (const auto it = incoming_links_.find(number); it != incoming_links_.end()) {
+        return it->second.get();
+    }
+    for (const auto& [host, it] : outgoing_links_) {
+        if (it->number() == number) {
+            return it.get();
+        }
+    }
+    return nullptr;
+}
+
 void job_links::close_all()
 {
     for (const auto& [host, it] : outgoing_links_) {
@@ -335,9 +420,9 @@
 {
     while (QTcpSocket* const socket = server_.nextPendingConnection()) {
         socket->setParent(nullptr);
-        last_link_number_ = last_link_number_.next();
-        incoming_links_.emplace(last_link_number_,
-                                std::make_unique<incoming_link>(*this, last_link_number_, socket));
+        auto accepted = std::make_unique<incoming_link>(*this, socket);
+        const link_number number = accepted->number();
+        incoming_links_.emplace(number, std::move(accepted));
     }
 }
 
--- a/packages/daemon/tests/jobs/unit-job_links.cpp
+++ b/packages/daemon/tests/jobs/unit-job_links.cpp
@@ -36,6 +36,19 @@
         return n;
     }
 
+    /// The last event of a kind, or nullptr.
+    template <typename Event>
+    const Event* last() const
+    {
+        const Event* found = nullptr;
+        for (const job_event& it : events_) {
+            if (const auto* event = std::get_if<Event>(&it)) {
+                found = event;
+            }
+        }
+        return found;
+    }
+
   private:
     std::vector<job_event> events_;
 };
@@ -67,6 +80,8 @@
     CPPUNIT_TEST(messages_buffered_on_a_silent_link_are_discarded);
     CPPUNIT_TEST(a_disconnected_host_is_not_reconnected);
     CPPUNIT_TEST(malformed_bytes_end_only_their_own_link);
+    CPPUNIT_TEST(the_configuration_goes_over_a_link_in_either_direction);
+    CPPUNIT_TEST(a_configuration_that_fits_no_frame_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -104,6 +119,36 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, events.count<delegation_received>());
     }
 
+    void the_configuration_goes_over_a_link_in_either_direction()
+    {
+        recording_sink opener_events;
+        recording_sink accepter_events;
+        job_links opener(options_of("e-1", std::chrono::seconds(60)), opener_events);
+        job_links accepter(options_of("e-2", std::chrono::seconds(60)), accepter_events);
+        accepter.publish(publish_configuration_version{4}); // before the link is opened
+        opener.connect(entry_of("e-2", accepter.port()));
+        expect_transfer(accepter, accepter_events, "e-2", opener, opener_events, 4);
+        opener.publish(publish_configuration_version{5});
+        expect_transfer(opener, opener_events, "e-1", accepter, accepter_events, 5);
+    }
+
+    void a_configuration_that_fits_no_frame_is_not_sent()
+    {
+        recording_sink opener_events;
+        recording_sink accepter_events;
+        job_links opener(options_of("e-1", std::chrono::seconds(60)), opener_events);
+        job_links accepter(options_of("e-2", std::chrono::seconds(60)), accepter_events);
+        opener.connect(entry_of("e-2", accepter.port()));
+        CPPUNIT_ASSERT(run_until([&] { return opener_events.count<peer_connected>() == 1; }));
+        queue_configuration_fields large{.version = 1};
+        large.queues.push_back({.path_prefix = std::string(max_job_frame_size, '/')});
+        opener.send({link_number(1), large});
+        opener.delegate({host_name("e-2"), delegation_id(4), sample_order()});
+        CPPUNIT_ASSERT(
+            run_until([&] { return accepter_events.count<delegation_received>() == 1; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, accepter_events.count<configuration_read>());
+    }
+
     void a_disconnected_host_is_not_reconnected()
     {
         recording_sink events;
@@ -145,6 +190,27 @@
     }
 
   private:
+    /// Waits until `sender` has offered a version, and has it sent to `receiver`.
+    static void expect_transfer(job_links& sender, const recording_sink& sender_events,
+                                const char* sender_host, job_links& receiver,
+                                const recording_sink& receiver_events, std::uint64_t version)
+    {
+        CPPUNIT_ASSERT(run_until([&] {
+            const auto* offered = receiver_events.last<configuration_offered>();
+            return offered != nullptr && offered->version == version;
+        }));
+        receiver.request({receiver_events.last<configuration_offered>()->link});
+        CPPUNIT_ASSERT(
+            run_until([&] { return sender_events.last<configuration_requested>() != nullptr; }));
+        sender.send({sender_events.last<configuration_requested>()->link,
+                     queue_configuration_fields{.version = version}});
+        CPPUNIT_ASSERT(
+            run_until([&] { return receiver_events.last<configuration_read>() != nullptr; }));
+        const configuration_read& read = *receiver_events.last<configuration_read>();
+        CPPUNIT_ASSERT_EQUAL(version, read.configuration->version);
+        CPPUNIT_ASSERT(read.sender == host_name(sender_host));
+    }
+
     static host_entry entry_of(const char* host, std::uint16_t port)
     {
         return {.host = host_name(host),
--- a/packages/wire/include/papayafall/wire/jobs/job_message.hpp
+++ b/packages/wire/include/papayafall/wire/jobs/job_message.hpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/jobs/state/job_state.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
+#include "papayafall/core/jobs/values/queue_configuration.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -62,10 +63,31 @@
     auto operator<=>(const link_release&) const = default;
 };
 
+/// Tells which version of the configuration is in force at the sender.
+struct link_configuration_version {
+    std::uint64_t version = 0;
+
+    auto operator<=>(const link_configuration_version&) const = default;
+};
+
+/// Asks for the configuration that is in force at the receiver.
+struct link_configuration_request {
+    auto operator<=>(const link_configuration_request&) const = default;
+};
+
+/// The configuration that is in force at the sender.
+struct link_configuration {
+    queue_configuration configuration;
+
+    auto operator<=>(const link_configuration&) const = default;
+};
+
 /// Any message between dispatchers on a job link. The index of an alternative is its number on the
 /// wire.
-using job_message = std::variant<link_hello, link_keepalive, link_load, link_delegation,
-                                 link_withdrawal, link_outcome, link_release>;
+using job_message =
+    std::variant<link_hello, link_keepalive, link_load, link_delegation, link_withdrawal,
+                 link_outcome, link_release, link_configuration_version, link_configuration_request,
+                 link_configuration>;
 
 /// Maximum frame size in bytes, including the size field.
 inline constexpr std::size_t max_job_frame_size = std::size_t{1} << 20U;
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -8,6 +8,9 @@
 
 using namespace papayafall::jobs;
 
+/// Maximum number of queues, and of services, in a configuration.
+constexpr std::size_t max_configuration_entries = 65'536;
+
 template <typename Archive>
 void serialize(Archive& archive, resources& it)
 {
@@ -95,6 +98,47 @@
     archive(it.worker);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, queue_definition& it)
+{
+    auto& [name, hostname, path_prefix, service, priority, max_attempts, objective_factor,
+           objective_offset, timeout] = it;
+    archive(name, hostname, path_prefix, service, priority, max_attempts, objective_factor,
+            objective_offset, timeout);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, service_definition& it)
+{
+    auto& [name, enforces_capacity] = it;
+    archive(name, enforces_capacity);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, queue_configuration_fields& it)
+{
+    auto& [version, queues, services] = it;
+    archive(version, bounded(queues, max_configuration_entries),
+            bounded(services, max_configuration_entries));
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_configuration_version& it)
+{
+    archive(it.version);
+}
+
+template <typename Archive>
+void serialize(Archive& /*archive*/, link_configuration_request& /*it*/)
+{
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_configuration& it)
+{
+    archive(it.configuration);
+}
+
 } // namespace papayafall::detail
 
 namespace papayafall::jobs {
@@ -102,7 +146,7 @@
 namespace {
 
 /// Version of the protocol on job links. Frames of any other version are rejected.
-constexpr std::uint8_t job_link_protocol_version = 2;
+constexpr std::uint8_t job_link_protocol_version = 3;
 
 /// Size in bytes of the size field at the start of a frame.
 constexpr std::size_t size_field_length = sizeof(std::uint32_t);
--- a/packages/wire/tests/jobs/unit-job_message.cpp
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -37,6 +37,22 @@
                             .expires_at = now + std::chrono::milliseconds(300)};
 }
 
+queue_configuration sample_configuration()
+{
+    queue_configuration_fields it{.version = 12};
+    it.queues.push_back({.name = queue_name("check"),
+                         .hostname = "desk.example",
+                         .path_prefix = "/check/",
+                         .service = service_name("desk"),
+                         .priority = 1,
+                         .max_attempts = 3,
+                         .objective_factor = 1.6,
+                         .objective_offset = std::chrono::milliseconds(60),
+                         .timeout = std::chrono::milliseconds(1500)});
+    it.services.push_back({.name = service_name("desk"), .enforces_capacity = false});
+    return it;
+}
+
 std::vector<job_message> sample_messages(time_point now)
 {
     return {link_hello{host_name("entry-1"), incarnation_id(3)},
@@ -48,7 +64,10 @@
             link_delegation{delegation_id(9), sample_order(now)},
             link_withdrawal{delegation_id(9)},
             link_outcome{delegation_id(9), job_outcome::interrupted},
-            link_release{worker_id("w-1")}};
+            link_release{worker_id("w-1")},
+            link_configuration_version{12},
+            link_configuration_request{},
+            link_configuration{sample_configuration()}};
 }
 
 class job_message_test : public CppUnit::TestFixture {
