Give up a task under which two workers crashed, and run it alone after the first

Callers of all queues were refused for 10 s and more: one task crashed worker after worker, eleven in 0.18 s, 39 of 48 in 3 s, and restarted workers again.

Cause: a run that was lost with its worker counted as no attempt, so its task was started again at once, on any worker and beside tasks of other jobs. Class: a retry without a limit, because the failure was put down to the machine only. Which tasks were on a worker when it ended was not logged, and a crash looked like an expired lease.

Now a run can end as worker_crashed: the connection to its worker is refused, or the worker reports a later start. A draining worker that ends, and one that is only silent, crash nothing. The task is at first one of several suspects, so it runs alone on a worker next, one of a job and few of a host at a time, and not while more workers have crashed lately than are left; a worker is kept free for it. After the second crash its job is answered as failed. The counts are kept for a minute beyond the job and passed on between linked hosts, so that a resubmission or the loss of the dispatcher does not start them anew.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -99,6 +99,10 @@
     // written by health_controller
     table<worker_id, worker_health> health;
 
+    // written by crash_controller
+    table<task_id, std::uint32_t> task_crashes;   ///< workers that crashed under each task lately
+    table<worker_id, time_point> crashed_workers; ///< when each crashed, for a while
+
     // written by intake_controller
     cell<delegation_id> last_delegation_id;
     table<call_id, accepted_call> calls;
@@ -115,6 +119,9 @@
     table<run_id, run_state> runs;
     table<run_location, run_phase> runs_by_worker; ///< index of `runs`
     table<worker_id, worker_load> worker_loads;
+    table<worker_id, task_ref>
+        trials;                      ///< tasks under which workers crashed, each alone on a worker
+    cell<worker_id> reserved_worker; ///< gets no runs but a trial; empty: none
     table<queue_name, queue_statistics> run_time_statistics;
     cell<core_time> queued_work; ///< declared work of all waiting tasks
 
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -57,6 +57,8 @@
     bool start_task(job_board& board, const task_ref& task, time_point now);
     /// Workers that can take the task now. Workers to avoid are left out if any other worker could
     /// run the task, even if that one is busy now.
+    /// A task under which workers crashed is placed alone on a worker, which then gets no other
+    /// run.
     std::vector<placement_candidate> candidates_for(const job_board& board, const task_ref& task,
                                                     const job_state_fields& job,
                                                     time_point now) const;
@@ -76,9 +78,17 @@
     /// Interrupts every job with a run on a worker that this host no longer controls.
     void interrupt_jobs_on_worker(job_board& board, const worker_id& id, time_point now);
     /// Ends the runs on a worker whose start was sent before the given time.
-    void end_terminated_runs(job_board& board, const worker_id& id, time_point start_sent_before,
+    void end_terminated_runs(job_board& board, const worker_runs_terminated& terminated,
                              time_point now);
 
+    // tasks under which workers crashed
+    /// Gives up the task's job if too many workers crashed under it.
+    void review_crashed_task(job_board& board, const task_id& task, time_point now);
+    /// Whether the task may now be started although workers crashed under it.
+    bool trial_allowed(const job_board& board, const task_ref& task) const;
+    /// Keeps a worker free of other runs for the first waiting task that needs one to itself.
+    void reserve_worker(const job_board& board);
+
     void put_run(const run_id& id, const run_state& run);
     /// Adds a run to the load of its worker.
     /// @param added false: the run is removed instead
@@ -100,8 +110,13 @@
     table_writer<run_id, run_state> runs_;
     table_writer<run_location, run_phase> runs_by_worker_;
     table_writer<worker_id, worker_load> worker_loads_;
+    table_writer<worker_id, task_ref> trials_;
+    cell_writer<worker_id> reserved_worker_;
     table_writer<queue_name, queue_statistics> run_time_statistics_;
     cell_writer<core_time> queued_work_;
 };
 
+/// Whether a worker crashed under the task lately, so that it may only run alone on a worker.
+bool needs_trial(const job_board& board, const task_ref& task);
+
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -128,6 +128,12 @@
     queue_configuration configuration;
 };
 
+/// Tells all linked hosts how many workers crashed while they ran a task.
+struct publish_task_crashes {
+    task_id task;
+    std::uint32_t crashes = 0;
+};
+
 // Actions towards the other hosts and the operators.
 
 /// Tells which version of the configuration is in force on this host from now on.
@@ -201,7 +207,7 @@
                  release_cell, update_host_entry, connect_peer, disconnect_peer, delegate_job,
                  withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
                  request_configuration, send_configuration, publish_configuration_version,
-                 start_run, stop_run, fetch_report, close_worker_connections, set_readiness,
-                 stop_dispatcher, log_decision>;
+                 publish_task_crashes, start_run, stop_run, fetch_report, close_worker_connections,
+                 set_readiness, stop_dispatcher, log_decision>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -157,6 +157,12 @@
     link_number link;
 };
 
+/// A linked host tells how many workers crashed while they ran a task.
+struct task_crashes_reported {
+    task_id task;
+    std::uint32_t crashes = 0;
+};
+
 /// The previous holder of a worker's cell has no more runs on the worker.
 struct worker_released {
     worker_id id;
@@ -276,6 +282,18 @@
 struct worker_runs_terminated {
     worker_id worker;
     time_point start_sent_before{};
+    run_outcome outcome = run_outcome::lease_expired; ///< of these runs
+};
+
+/// A worker crashed while it had a run of the task.
+struct worker_crashed_under_task {
+    worker_id worker;
+    task_id task;
+};
+
+/// The number of workers that crashed under a task has increased.
+struct task_crashes_counted {
+    task_id task;
 };
 
 /// The worker was restarted under the same id. Only its later reports tell which runs go on.
@@ -312,9 +330,10 @@
     claim_answered, job_submitted, queue_length_requested, job_status_requested, call_abandoned,
     peer_connected, peer_lost, load_reported, delegation_answered, delegation_received,
     delegation_withdrawn, delegator_lost, configuration_offered, configuration_requested,
-    worker_released, start_answered, stop_answered, report_received, report_failed, stop_requested,
-    process_resumed, process_stopping, cell_acquired, cell_lost, run_finished, run_stalled,
-    run_time_measured, worker_runs_terminated, worker_restarted, worker_ownership_lost,
-    job_finished, job_delegated, lease_extended>;
+    task_crashes_reported, worker_released, start_answered, stop_answered, report_received,
+    report_failed, stop_requested, process_resumed, process_stopping, cell_acquired, cell_lost,
+    run_finished, run_stalled, run_time_measured, worker_runs_terminated, worker_crashed_under_task,
+    task_crashes_counted, worker_restarted, worker_ownership_lost, job_finished, job_delegated,
+    lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/values/job_identifiers.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/job_identifiers.hpp
@@ -35,6 +35,15 @@
     }
 };
 
+/// Identifies a task across all submissions of its job and on all hosts.
+struct task_id {
+    job_id job;
+    std::uint32_t step = 0; ///< index within the job
+    std::uint32_t task = 0; ///< index within the step
+
+    auto operator<=>(const task_id&) const = default;
+};
+
 /// Identifies one run, which is one attempt to execute a task. Later runs of a task have higher
 /// numbers.
 struct run_id {
--- a/packages/core/include/papayafall/core/jobs/values/worker.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/worker.hpp
@@ -29,9 +29,16 @@
 /// A worker as described by service discovery.
 using worker = value<worker_fields>;
 
-/// Result of a run, as reported by its worker. `lease_expired`: the worker ended the run because
-/// its lease had expired; `broken`: the run ended abnormally.
-enum class run_outcome : std::uint8_t { done, failed, stopped, lease_expired, broken, unknown };
+/// Result of a run, as reported by its worker or concluded from the worker's state.
+enum class run_outcome : std::uint8_t {
+    done,
+    failed,
+    stopped,
+    lease_expired,  ///< the worker ended the run because its lease had expired
+    broken,         ///< the run ended abnormally
+    worker_crashed, ///< the worker's process ended while it had the run
+    unknown,
+};
 
 /// Name of the outcome in log lines.
 const char* to_string(run_outcome it) noexcept;
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -1,5 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/crash_controller.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -62,6 +64,18 @@
     return started ? waiting_group::other_started : waiting_group::other;
 }
 
+/// Whether too many workers crashed under one of the job's tasks.
+bool is_given_up(const job_board& board, const job_id& job)
+{
+    for (auto it = board.task_crashes.lower_bound({.job = job});
+         it != board.task_crashes.end() && it->key.job == job; ++it) {
+        if (it->value >= max_task_crashes) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 dispatch_controller::dispatch_controller(job_board& board,
@@ -73,6 +87,7 @@
       tasks_(board.tasks.claim()), waiting_tasks_(board.waiting_tasks.claim()),
       waiting_ranks_(board.waiting_ranks.claim()), runs_(board.runs.claim()),
       runs_by_worker_(board.runs_by_worker.claim()), worker_loads_(board.worker_loads.claim()),
+      trials_(board.trials.claim()), reserved_worker_(board.reserved_worker.claim()),
       run_time_statistics_(board.run_time_statistics.claim()),
       queued_work_(board.queued_work.claim())
 {
@@ -110,7 +125,9 @@
         interrupt_jobs_on_worker(board, it->worker, now.steady);
     }
     if (const auto* it = std::get_if<worker_runs_terminated>(&incoming)) {
-        end_terminated_runs(board, it->worker, it->start_sent_before, now.steady);
+        end_terminated_runs(board, *it, now.steady);
+    } else if (const auto* counted = std::get_if<task_crashes_counted>(&incoming)) {
+        review_crashed_task(board, counted->task, now.steady);
     } else if (std::holds_alternative<process_resumed>(incoming) ||
                std::holds_alternative<process_stopping>(incoming)) {
         interrupt_all_jobs(board, now.steady);
@@ -142,6 +159,10 @@
             it.configuration_version = configuration.version;
         });
     }
+    if (is_given_up(board, order->job->id)) {
+        board.raised.post(job_finished{received.origin, job_outcome::failed});
+        return;
+    }
     if (const auto refused = refusal_outcome(board, *order, now)) {
         board.raised.post(job_finished{received.origin, *refused});
         return;
@@ -409,13 +430,19 @@
         }
         offered.push_back(it.value);
     }
+    reserved_worker_.put({});
     std::size_t unplaced = 0;
     for (const task_ref& it : offered) {
         if (unplaced == max_unplaced_tasks) {
             return;
         }
-        if (!start_task(board, it, now)) {
+        if (start_task(board, it, now)) {
+            continue;
+        }
+        if (!needs_trial(board, it)) {
             ++unplaced;
+        } else if (board.reserved_worker->empty() && trial_allowed(board, it)) {
+            reserve_worker(board);
         }
     }
 }
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/crash_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 #include "papayafall/core/jobs/state/worker_lease.hpp"
 
@@ -40,6 +41,13 @@
     return found;
 }
 
+/// Whether the worker's process is another than the one that the run was sent to.
+/// @param started_at_ms start of the process; 0: unknown
+bool has_restarted(const run_state& run, std::int64_t started_at_ms)
+{
+    return run.worker_started_at_ms != 0 && started_at_ms > run.worker_started_at_ms;
+}
+
 } // namespace
 
 bool dispatch_controller::start_task(job_board& board, const task_ref& task, time_point now)
@@ -56,6 +64,10 @@
         previous_run->key.step == id.step && previous_run->key.task == id.task) {
         return true; // a run of the same task, of an earlier submission, has not ended yet
     }
+    const bool trial = needs_trial(board, task);
+    if (trial && !trial_allowed(board, task)) {
+        return false;
+    }
     const std::vector<placement_candidate> candidates = candidates_for(board, task, *job, now);
     if (candidates.empty()) {
         return false;
@@ -71,9 +83,13 @@
     const run_state run{.task = task,
                         .worker = chosen_worker,
                         .need = step.need,
+                        .worker_started_at_ms = session.started_at_ms,
                         .start_sent_at = now,
                         .progress_at = latest_worker_time(session, now)};
     put_run(id, run);
+    if (trial) {
+        trials_.put(chosen_worker, task);
+    }
     update_worker_load(board, run, true);
     update_job(board, task.job, now, [now](job_state_fields& it) {
         it.started_at = it.started ? it.started_at : now;
@@ -98,6 +114,7 @@
     const job_order_fields& order = *job.order;
     const job_step& step = order.job->steps[task.step];
     const worker_id& avoid = board.tasks.find(task)->avoided_worker;
+    const bool trial = needs_trial(board, task);
     std::vector<placement_candidate> found;
     bool has_healthy_worker = false; // a worker that need not be avoided exists, even if it is busy
     for (const auto& it : board.sessions) {
@@ -117,6 +134,12 @@
         const bool avoided = it.key == avoid || (health != nullptr && health->avoid_until > now);
         has_healthy_worker = has_healthy_worker || !avoided;
         const worker_load* load = board.worker_loads.find(it.key);
+        const bool unshared =
+            trial ? load == nullptr
+                  : !board.trials.contains(it.key) && it.key != *board.reserved_worker;
+        if (!unshared) {
+            continue;
+        }
         const resources free =
             load == nullptr ? (*entry)->capacity : (*entry)->capacity - load->used;
         if (!step.need.fits(free)) {
@@ -231,7 +254,8 @@
         }
     }
     for (const run_id& it : missing) {
-        end_run(board, it, run_outcome::unknown, now);
+        const bool restarted = has_restarted(*board.runs.find(it), report.started_at_ms);
+        end_run(board, it, restarted ? run_outcome::worker_crashed : run_outcome::unknown, now);
     }
 }
 
@@ -300,6 +324,13 @@
     runs_.erase(id);
     runs_by_worker_.erase({run.worker, id});
     update_worker_load(board, run, false);
+    if (const task_ref* trial = board.trials.find(run.worker);
+        trial != nullptr && *trial == run.task) {
+        trials_.erase(run.worker);
+    }
+    if (outcome == run_outcome::worker_crashed) {
+        board.raised.post(worker_crashed_under_task{run.worker, {id.job, id.step, id.task}});
+    }
     update_job(board, run.task.job, now, [](job_state_fields& it) { --it.active_runs; });
     const job_state job = *board.jobs.find(run.task.job);
     if (job->closing) {
@@ -387,14 +418,18 @@
     }
 }
 
-void dispatch_controller::end_terminated_runs(job_board& board, const worker_id& id,
-                                              time_point start_sent_before, time_point now)
+void dispatch_controller::end_terminated_runs(job_board& board,
+                                              const worker_runs_terminated& terminated,
+                                              time_point now)
 {
-    for (const run_id& it : runs_on_worker(board, id)) {
-        if (board.runs.find(it)->start_sent_at >= start_sent_before) {
+    for (const run_id& it : runs_on_worker(board, terminated.worker)) {
+        if (board.runs.find(it)->start_sent_at >= terminated.start_sent_before) {
             continue;
         }
-        end_run(board, it, run_outcome::lease_expired, now);
+        const worker_session* session = board.sessions.find(terminated.worker);
+        const bool restarted =
+            session != nullptr && has_restarted(*board.runs.find(it), session->started_at_ms);
+        end_run(board, it, restarted ? run_outcome::worker_crashed : terminated.outcome, now);
     }
 }
 
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -54,6 +54,14 @@
             .lease_expired_by = previous.lease_expired_by};
 }
 
+/// Outcome of the runs of a worker whose process has ended. A draining worker ends as planned.
+run_outcome outcome_of_ended_process(const job_board& board, const worker_id& id)
+{
+    const worker* entry = board.workers.find(id);
+    return entry != nullptr && (*entry)->draining ? run_outcome::unknown
+                                                  : run_outcome::worker_crashed;
+}
+
 } // namespace
 
 worker_address worker_address_of(const job_board& board, const worker_id& id,
@@ -305,7 +313,8 @@
     }
     const bool process_gone = failed.reason == call_failure::connection_refused;
     if (process_gone) {
-        board.raised.post(worker_runs_terminated{failed.worker, failed.sent_at});
+        board.raised.post(worker_runs_terminated{failed.worker, failed.sent_at,
+                                                 outcome_of_ended_process(board, failed.worker)});
     }
     if (session.phase == session_phase::ready) {
         board.outbox.post(log_decision{
@@ -369,7 +378,7 @@
     const bool silent =
         session.phase == session_phase::unreachable || (entry == nullptr && !answers);
     if (silent && busy && now >= session.lease_expired_by) {
-        board.raised.post(worker_runs_terminated{id, now});
+        board.raised.post(worker_runs_terminated{id, now, run_outcome::lease_expired});
     }
     const bool has_unacknowledged_ends = session.handled_end > session.acknowledged_end;
     if (entry == nullptr) {
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/jobs/controllers/cell_controller.hpp"
 #include "papayafall/core/jobs/controllers/configuration_controller.hpp"
+#include "papayafall/core/jobs/controllers/crash_controller.hpp"
 #include "papayafall/core/jobs/controllers/directory_controller.hpp"
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 #include "papayafall/core/jobs/controllers/health_controller.hpp"
@@ -36,6 +37,7 @@
     controllers.push_back(std::make_unique<job_lifecycle_controller>(*board));
     controllers.push_back(std::make_unique<peer_controller>(*board));
     controllers.push_back(std::make_unique<cell_controller>(*board));
+    controllers.push_back(std::make_unique<crash_controller>(*board));
     controllers.push_back(std::make_unique<health_controller>(*board, policies.ejection));
     controllers.push_back(
         std::make_unique<intake_controller>(*board, policies.selection, policies.admission));
--- a/packages/core/src/jobs/values/worker.cpp
+++ b/packages/core/src/jobs/values/worker.cpp
@@ -22,6 +22,8 @@
         return "lapsed";
     case run_outcome::broken:
         return "broken";
+    case run_outcome::worker_crashed:
+        return "worker_crashed";
     case run_outcome::unknown:
         break;
     }
--- a/packages/core/tests/random/jobs/dispatcher_model.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.cpp
@@ -446,6 +446,21 @@
     }
 }
 
+void dispatcher_model::perform(const jobs::publish_task_crashes& it)
+{
+    send_to_all(jobs::task_crashes_reported{it.task, it.crashes});
+}
+
+void dispatcher_model::send_to_all(const jobs::job_event& it)
+{
+    for (const auto& [host, link] : outgoing_links_) {
+        link->send_to_accepter(it);
+    }
+    for (const auto& [number, link] : incoming_links_) {
+        link->send_to_opener(it);
+    }
+}
+
 std::function<void(const jobs::job_event&)>
 dispatcher_model::sender_of(jobs::link_number number) const
 {
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -101,7 +101,9 @@
     void perform(const jobs::publish_load& it);
     void perform(const jobs::release_worker& it);
     void perform(const jobs::publish_configuration_version& it);
+    void perform(const jobs::publish_task_crashes& it);
     void perform(const jobs::request_configuration& it);
+    void send_to_all(const jobs::job_event& it);
     void perform(const jobs::send_configuration& it);
     void perform(const jobs::close_links& it);
     void perform(const jobs::start_run& it);
--- a/packages/core/tests/random/jobs/job_history.cpp
+++ b/packages/core/tests/random/jobs/job_history.cpp
@@ -99,6 +99,17 @@
     }
 }
 
+void job_history::worker_crashed(const jobs::run_id& run, time_point now)
+{
+    // Two crashes, and as many on hosts that were cut off or killed before they had passed them on.
+    constexpr std::uint32_t max_crashes = 4;
+    note("crash by " + to_text(run), now);
+    ++crashes_;
+    if (++jobs_.at(run.job).crashes > max_crashes) {
+        fail("a task crashed one worker after the other: " + to_text(run), now);
+    }
+}
+
 void job_history::ended(const jobs::worker_id& worker, const jobs::run_id& run,
                         jobs::run_outcome outcome, time_point now)
 {
--- a/packages/core/tests/random/jobs/job_history.hpp
+++ b/packages/core/tests/random/jobs/job_history.hpp
@@ -36,6 +36,8 @@
     /// A run ended, on its own or because its worker crashed.
     void ended(const jobs::worker_id& worker, const jobs::run_id& run, jobs::run_outcome outcome,
                time_point now);
+    /// A run crashed its worker.
+    void worker_crashed(const jobs::run_id& run, time_point now);
     /// Fails if a worker that does not enforce its capacity itself uses more than that.
     void check_capacity(const jobs::worker_id& worker, const jobs::resources& in_use,
                         const jobs::resources& capacity, time_point now);
@@ -52,6 +54,8 @@
 
     std::uint64_t starts() const noexcept { return starts_; }
 
+    std::uint64_t crashes() const noexcept { return crashes_; }
+
     const std::map<jobs::job_outcome, std::uint64_t>& outcomes() const noexcept
     {
         return outcomes_;
@@ -69,6 +73,7 @@
         std::uint64_t starts = 0;
         bool succeeded = false;
         std::set<std::pair<std::uint32_t, std::uint32_t>> done_tasks; ///< by step and index
+        std::uint32_t crashes = 0; ///< workers that a task of the job has crashed
         /// Runs in progress by step and index of the task: worker and run number.
         std::map<std::pair<std::uint32_t, std::uint32_t>, std::pair<jobs::worker_id, std::uint64_t>>
             running_runs;
@@ -78,6 +83,7 @@
     std::map<jobs::job_outcome, std::uint64_t> outcomes_;
     std::deque<std::string> notes_;
     std::uint64_t starts_ = 0;
+    std::uint64_t crashes_ = 0;
 };
 
 } // namespace papayafall::random_runs
--- a/packages/core/tests/random/jobs/job_world.cpp
+++ b/packages/core/tests/random/jobs/job_world.cpp
@@ -51,7 +51,8 @@
                                   .zone = zone_name(zones[n % zones.size()]),
                                   .capacity = {.cpu_millis = 64'000, .memory_mb = 1000}};
         workers_[entry.id] =
-            std::make_unique<worker_model>(entry, enforces_capacity, time_, rng_, history_);
+            std::make_unique<worker_model>(entry, enforces_capacity, time_, rng_, history_,
+                                           [this](worker_model& it) { crash_worker(it); });
         store_.put_worker(workers_[entry.id]->entry());
     }
 }
@@ -94,7 +95,8 @@
             .attempts = last_call_,
             .served = history_.served(),
             .starts = history_.starts(),
-            .faults = faults_};
+            .faults = faults_,
+            .crashes = history_.crashes()};
 }
 
 void job_world::on_answer(call_id call, jobs::job_outcome outcome)
@@ -168,7 +170,7 @@
                                .memory_mb = 10};
     const std::uint64_t run_ms = rng_.percent(5) ? rng_.between(800, 4000) : rng_.between(20, 300);
     jobs::job_spec_fields job{.id = jobs::job_id(id),
-                              .payload = payload_of(run_ms, need),
+                              .payload = payload_of(run_ms, need, rng_.percent(1)),
                               .options = {.best_effort = true}};
     const std::uint64_t steps = rng_.percent(25) ? 2 : 1;
     for (std::uint64_t n = 0; n < steps; ++n) {
@@ -248,7 +250,7 @@
         store_.revoke_all_leases();
         break;
     case 8:
-        crash_worker();
+        crash_random_worker();
         break;
     default:
         delay_worker_calls_ = true;
@@ -296,12 +298,16 @@
     time_.after(rng_.milliseconds(300, 9000), [this] { store_.set_up(true); });
 }
 
-void job_world::crash_worker()
+void job_world::crash_random_worker()
 {
     worker_model& worker = random_worker();
-    if (!worker.up()) {
-        return;
+    if (worker.up()) {
+        crash_worker(worker);
     }
+}
+
+void job_world::crash_worker(worker_model& worker)
+{
     worker.crash();
     const bool unlisted = rng_.percent(50);
     if (unlisted) {
--- a/packages/core/tests/random/jobs/job_world.hpp
+++ b/packages/core/tests/random/jobs/job_world.hpp
@@ -19,6 +19,7 @@
     std::uint64_t served = 0; ///< jobs of which an attempt succeeded
     std::uint64_t starts = 0; ///< runs that were started
     std::uint64_t faults = 0;
+    std::uint64_t crashes = 0; ///< of workers, by tasks
 };
 
 /// Simulation of several dispatchers with their real cores, and of workers, a store and callers, in
@@ -58,7 +59,9 @@
     void kill_host(dispatcher_model& host);
     void cut_network_paths();
     void make_store_unavailable();
-    void crash_worker();
+    void crash_random_worker();
+    /// Crashes a worker and starts it again later.
+    void crash_worker(worker_model& worker);
     void clear_faults();
     dispatcher_model* random_live_host();
     worker_model& random_worker();
--- a/packages/core/tests/random/jobs/worker_model.cpp
+++ b/packages/core/tests/random/jobs/worker_model.cpp
@@ -12,6 +12,8 @@
 
 constexpr milliseconds max_lease{1000};
 constexpr duration advance_period = milliseconds(10);
+/// Time after its start in which a task crashes its worker.
+constexpr duration time_to_crash = milliseconds(15);
 /// Share of runs that fail because of their task.
 constexpr std::uint64_t failing_run_percent = 3;
 
@@ -22,16 +24,17 @@
 
 } // namespace
 
-std::string payload_of(std::uint64_t run_ms, const jobs::resources& need)
+std::string payload_of(std::uint64_t run_ms, const jobs::resources& need, bool crashes)
 {
     return std::to_string(run_ms) + " " + std::to_string(need.cpu_millis) + " " +
-           std::to_string(need.memory_mb);
+           std::to_string(need.memory_mb) + (crashes ? " 1" : " 0");
 }
 
 worker_model::worker_model(jobs::worker_fields entry, bool enforces_capacity, scheduler& time,
-                           random_source& rng, job_history& history)
+                           random_source& rng, job_history& history,
+                           std::function<void(worker_model&)> crash)
     : entry_(std::move(entry)), enforces_capacity_(enforces_capacity), time_(time), rng_(rng),
-      history_(history)
+      history_(history), crash_(std::move(crash))
 {
     restart();
 }
@@ -78,7 +81,9 @@
     std::istringstream payload(request.payload);
     std::uint64_t run_ms = 0;
     jobs::resources need;
-    payload >> run_ms >> need.cpu_millis >> need.memory_mb;
+    bool job_crashes = false;
+    payload >> run_ms >> need.cpu_millis >> need.memory_mb >> job_crashes;
+    const bool crashes = job_crashes && request.run.step == 0 && request.run.task == 0;
     if (enforces_capacity_ && !(in_use() + need).fits(entry_.capacity)) {
         return jobs::start_result::insufficient_capacity;
     }
@@ -88,6 +93,10 @@
                    .ends_at = time_.now() + milliseconds(run_ms),
                    .outcome = rng_.percent(failing_run_percent) ? jobs::run_outcome::failed
                                                                 : jobs::run_outcome::done};
+    if (crashes) {
+        runs_[task].ends_at = time_.now() + time_to_crash;
+        runs_[task].outcome = jobs::run_outcome::worker_crashed;
+    }
     history_.started(entry_.id, request.run, time_.now());
     if (!enforces_capacity_) {
         history_.check_capacity(entry_.id, in_use(), entry_.capacity, time_.now());
@@ -179,6 +188,11 @@
         }
     }
     for (const auto& [task, outcome] : finished) {
+        if (outcome == jobs::run_outcome::worker_crashed) {
+            history_.worker_crashed(runs_.at(task).id, time_.now());
+            crash_(*this);
+            return;
+        }
         end_run(task, outcome);
     }
     answer_reports();
--- a/packages/core/tests/random/jobs/worker_model.hpp
+++ b/packages/core/tests/random/jobs/worker_model.hpp
@@ -23,8 +23,10 @@
     using report_reply = std::function<void(std::variant<jobs::worker_report, jobs::call_failure>)>;
 
     /// @param enforces_capacity whether the worker rejects runs that exceed its free capacity
+    /// @param crash             called when a task crashes the worker; has to call `crash`
     worker_model(jobs::worker_fields entry, bool enforces_capacity, scheduler& time,
-                 random_source& rng, job_history& history);
+                 random_source& rng, job_history& history,
+                 std::function<void(worker_model&)> crash);
     worker_model(const worker_model&) = delete;
     worker_model& operator=(const worker_model&) = delete;
     ~worker_model() = default;
@@ -82,6 +84,7 @@
     scheduler& time_;
     random_source& rng_;
     job_history& history_;
+    std::function<void(worker_model&)> crash_;
     bool up_ = false;
     std::uint64_t generation_ = 0;
     time_point booted_at_{};
@@ -98,7 +101,8 @@
 
 /// Encodes run time and resources of a job's tasks as the payload of the job.
 ///
-/// @param run_ms run time in milliseconds
-std::string payload_of(std::uint64_t run_ms, const jobs::resources& need);
+/// @param run_ms  run time in milliseconds
+/// @param crashes whether the first task of the job crashes each worker that starts it
+std::string payload_of(std::uint64_t run_ms, const jobs::resources& need, bool crashes);
 
 } // namespace papayafall::random_runs
--- a/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
+++ b/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
@@ -68,6 +68,9 @@
     /// in force here.
     void publish(const publish_configuration_version& action);
 
+    /// Tells all linked hosts how many workers crashed under a task.
+    void publish(const publish_task_crashes& action);
+
     /// Asks the host at the other end of a link for its configuration.
     void request(const request_configuration& action);
 
@@ -86,6 +89,7 @@
     class incoming_link;
 
     void accept();
+    void write_to_all(const job_message& message);
     /// Link with the given number, or nullptr if it has ended.
     link* find(link_number number) const;
 
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -107,9 +107,9 @@
         return boot_time >= last_received_at_ + owner_.options_.silence_timeout;
     }
 
-    /// Handles the messages about the configuration, which go in both directions.
+    /// Handles the messages that go in both directions.
     /// @return false if the message is another one
-    bool handle_configuration_message(const job_message& message)
+    bool handle_common_message(const job_message& message)
     {
         if (const auto* it = std::get_if<link_configuration_version>(&message)) {
             owner_.events_.post(configuration_offered{number_, it->version});
@@ -123,6 +123,10 @@
             owner_.events_.post(configuration_read{it->configuration, peer_});
             return true;
         }
+        if (const auto* it = std::get_if<link_task_crashes>(&message)) {
+            owner_.events_.post(task_crashes_reported{it->task, it->crashes});
+            return true;
+        }
         return false;
     }
 
@@ -146,7 +150,7 @@
                     break;
                 }
                 const job_message message = decode_job_frame(rest.substr(0, *size), now);
-                if (!handle_configuration_message(message)) {
+                if (!handle_common_message(message)) {
                     on_message(message);
                 }
                 consumed += *size;
@@ -344,8 +348,18 @@
 void job_links::publish(const publish_configuration_version& action)
 {
     configuration_version_ = action.version;
+    write_to_all(link_configuration_version{action.version});
+}
+
+void job_links::publish(const publish_task_crashes& action)
+{
+    write_to_all(link_task_crashes{action.task, action.crashes});
+}
+
+void job_links::write_to_all(const job_message& message)
+{
     const time_point now = steady_now();
-    const std::string frame = encode_job_frame(link_configuration_version{action.version}, now);
+    const std::string frame = encode_job_frame(message, now);
     for (const auto& [host, it] : outgoing_links_) {
         it->write_frame(frame, now);
     }
--- a/packages/wire/include/papayafall/wire/jobs/job_message.hpp
+++ b/packages/wire/include/papayafall/wire/jobs/job_message.hpp
@@ -82,12 +82,20 @@
     auto operator<=>(const link_configuration&) const = default;
 };
 
+/// Tells how many workers crashed while they ran a task.
+struct link_task_crashes {
+    task_id task;
+    std::uint32_t crashes = 0;
+
+    auto operator<=>(const link_task_crashes&) const = default;
+};
+
 /// Any message between dispatchers on a job link. The index of an alternative is its number on the
 /// wire.
 using job_message =
     std::variant<link_hello, link_keepalive, link_load, link_delegation, link_withdrawal,
                  link_outcome, link_release, link_configuration_version, link_configuration_request,
-                 link_configuration>;
+                 link_configuration, link_task_crashes>;
 
 /// Maximum frame size in bytes, including the size field.
 inline constexpr std::size_t max_job_frame_size = std::size_t{1} << 20U;
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -139,6 +139,19 @@
     archive(it.configuration);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, task_id& it)
+{
+    auto& [job, step, task] = it;
+    archive(job, step, task);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_task_crashes& it)
+{
+    archive(it.task, it.crashes);
+}
+
 } // namespace papayafall::detail
 
 namespace papayafall::jobs {
--- a/packages/wire/tests/jobs/unit-job_message.cpp
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -67,7 +67,8 @@
             link_release{worker_id("w-1")},
             link_configuration_version{12},
             link_configuration_request{},
-            link_configuration{sample_configuration()}};
+            link_configuration{sample_configuration()},
+            link_task_crashes{{job_id("0123456789abcdef"), 1, 2}, 3}};
 }
 
 class job_message_test : public CppUnit::TestFixture {
