--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -1,5 +1,7 @@
 #include "support/job_fixture.hpp"
 
+#include "papayafall/core/jobs/controllers/peer_controller.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace papayafall::jobs {
@@ -28,6 +30,7 @@
     CPPUNIT_TEST(a_resubmitted_job_waits_until_its_former_runs_have_ended);
     CPPUNIT_TEST(a_run_end_reported_by_another_worker_is_ignored);
     CPPUNIT_TEST(a_draining_worker_gets_no_new_runs);
+    CPPUNIT_TEST(a_worker_whose_capacity_shrinks_gets_no_more_than_that);
     CPPUNIT_TEST(a_job_that_would_miss_its_objective_is_refused_early);
     CPPUNIT_TEST(a_waiting_job_is_refused_when_its_caller_stops_waiting);
     CPPUNIT_TEST(unsupported_kinds_of_jobs_are_refused);
@@ -275,6 +278,34 @@
         CPPUNIT_ASSERT(submit_and_take_starts(1, 1).empty());
     }
 
+    // Guards against runs beyond the capacity of a worker: it may shrink and grow while the worker
+    // has runs, and a run that is being stopped still occupies its share.
+    void a_worker_whose_capacity_shrinks_gets_no_more_than_that()
+    {
+        list_with_capacity("w-2", 0);
+        const auto first = submit_and_take_starts(1, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.size());
+        fixture_->accept_start(first[0]);
+        fixture_->accept_start(first[1]);
+        list_with_capacity("w-1", 40'000);
+        CPPUNIT_ASSERT(own_load(fixture_->board()).free_cpu_millis < 0);
+        fixture_->submit_job(2, job_fixture::make_job("00000000000000b2"));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        fixture_->deliver(call_abandoned{call_id(1)});
+        for (const start_run& it : first) {
+            fixture_->deliver(stop_answered{it.to.id, it.run, true});
+        }
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        worker_report report;
+        report.running.push_back({.run = first[1].run});
+        report.ended.push_back(
+            {.sequence = 1, .run = first[0].run, .outcome = run_outcome::stopped});
+        fixture_->deliver_report("w-1", report, true);
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty()); // 27,000 and 27,000 of 40,000
+        list_with_capacity("w-1", 54'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<start_run>().size());
+    }
+
     void a_job_that_would_miss_its_objective_is_refused_early()
     {
         for (std::uint64_t n = 1; n <= 12; ++n) {
@@ -352,6 +383,13 @@
     }
 
   private:
+    void list_with_capacity(const std::string& id, std::int64_t cpu_millis)
+    {
+        worker_fields it = job_fixture::make_worker(id);
+        it.capacity.cpu_millis = cpu_millis;
+        fixture_->deliver(worker_listed{it});
+    }
+
     std::vector<start_run> submit_and_take_starts(std::uint64_t call, std::uint32_t tasks)
     {
         const std::string id =
