--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -65,6 +65,10 @@
     other,
 };
 
+/// Priority class of the waiting tasks of a job.
+/// @param started whether a task of the job was started before
+waiting_group waiting_group_of(const job_order_fields& order, bool started) noexcept;
+
 /// Sort key of the waiting tasks; the smallest is offered to the workers first.
 struct waiting_rank {
     waiting_group group = waiting_group::other;
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -106,69 +106,6 @@
     return true;
 }
 
-std::vector<placement_candidate> dispatch_controller::candidates_for(const job_board& board,
-                                                                     const task_ref& task,
-                                                                     const job_state_fields& job,
-                                                                     time_point now) const
-{
-    const job_order_fields& order = *job.order;
-    const job_step& step = order.job->steps[task.step];
-    const worker_id& avoid = board.tasks.find(task)->avoided_worker;
-    const bool trial = needs_trial(board, task);
-    std::vector<placement_candidate> found;
-    bool has_healthy_worker = false; // a worker that need not be avoided exists, even if it is busy
-    for (const auto& it : board.sessions) {
-        const worker* entry = board.workers.find(it.key);
-        const held_cell* held = board.held_cells.find(it.value.cell);
-        if (it.value.phase != session_phase::ready || entry == nullptr || held == nullptr ||
-            (*entry)->draining || (*entry)->service != order.service) {
-            continue;
-        }
-        if (held->phase != cell_phase::held && !job.started) {
-            continue;
-        }
-        if (!step.required_label.empty() && !(*entry)->has_label(step.required_label)) {
-            continue;
-        }
-        const worker_health* health = board.health.find(it.key);
-        const bool avoided = it.key == avoid || (health != nullptr && health->avoid_until > now);
-        has_healthy_worker = has_healthy_worker || !avoided;
-        const worker_load* load = board.worker_loads.find(it.key);
-        const bool unshared =
-            trial ? load == nullptr
-                  : !board.trials.contains(it.key) && it.key != *board.reserved_worker;
-        if (!unshared) {
-            continue;
-        }
-        const resources free =
-            load == nullptr ? (*entry)->capacity : (*entry)->capacity - load->used;
-        if (!step.need.fits(free)) {
-            continue;
-        }
-        if (step.max_per_worker > 0) {
-            std::uint32_t runs_of_step = 0;
-            for (auto run = board.runs_by_worker.lower_bound(
-                     {.worker = it.key, .run = {.job = order.job->id, .step = task.step}});
-                 run != board.runs_by_worker.end() && run->key.worker == it.key &&
-                 run->key.run.job == order.job->id && run->key.run.step == task.step;
-                 ++run) {
-                ++runs_of_step;
-            }
-            if (runs_of_step >= step.max_per_worker) {
-                continue;
-            }
-        }
-        found.push_back({.entry = &**entry,
-                         .free = free,
-                         .slowness = health == nullptr ? 1 : health->slowness,
-                         .avoided = avoided});
-    }
-    if (has_healthy_worker) {
-        std::erase_if(found, [](const placement_candidate& it) { return it.avoided; });
-    }
-    return found;
-}
-
 void dispatch_controller::on_start_answered(job_board& board, const start_answered& answered,
                                             time_point now)
 {
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -75,6 +75,8 @@
     void check_configuration();
 
   private:
+    static constexpr const char* store_name = "store"; ///< of the store, in the network model
+
     clock_reading reading() const;
     void deliver(const jobs::job_event& it);
     void deliver_if_current(std::uint64_t generation, const jobs::job_event& it);
