Reserve only a worker that can run the waiting task, and keep the reservation while it is needed

By reading the diff: the worker that is kept free for a task under which a worker crashed could be a draining one or one of another service, and the reservation was dropped at each tick, so that tasks earlier in the order could fill the worker again. no_worker_is_kept_free_that_cannot_run_the_task guards the first.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -119,8 +119,8 @@
     table<run_id, run_state> runs;
     table<run_location, run_phase> runs_by_worker; ///< index of `runs`
     table<worker_id, worker_load> worker_loads;
-    table<worker_id, task_ref>
-        trials;                      ///< tasks under which workers crashed, each alone on a worker
+    /// Tasks under which workers crashed and that run now, each alone on a worker.
+    table<worker_id, task_ref> trials;
     cell<worker_id> reserved_worker; ///< gets no runs but a trial; empty: none
     table<queue_name, queue_statistics> run_time_statistics;
     cell<core_time> queued_work; ///< declared work of all waiting tasks
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -86,8 +86,10 @@
     void review_crashed_task(job_board& board, const task_id& task, time_point now);
     /// Whether the task may now be started although workers crashed under it.
     bool trial_allowed(const job_board& board, const task_ref& task) const;
-    /// Keeps a worker free of other runs for the first waiting task that needs one to itself.
-    void reserve_worker(const job_board& board);
+    /// Keeps the worker with the fewest runs free of others, so that the task can soon run alone.
+    void reserve_worker(const job_board& board, const task_ref& task);
+    /// Whether the worker could run the task if it were idle.
+    bool suits(const job_board& board, const worker_id& id, const task_ref& task) const;
 
     void put_run(const run_id& id, const run_state& run);
     /// Adds a run to the load of its worker.
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -91,8 +91,8 @@
     task_ref task;
     worker_id worker;
     resources need;
-    std::int64_t worker_started_at_ms =
-        0; ///< start of the worker's process that got it; 0: unknown
+    /// Start of the worker's process that the run was sent to, as in `worker_session`; 0: unknown.
+    std::int64_t worker_started_at_ms = 0;
     run_phase phase = run_phase::starting;
     time_point start_sent_at{};
     /// When the worker answered the start, or when a stop that it answered has taken effect. A
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -328,8 +328,8 @@
         }
         offered.push_back(it.value);
     }
-    reserved_worker_.put({});
     std::size_t unplaced = 0;
+    bool reservation_needed = false;
     for (const task_ref& it : offered) {
         if (unplaced == max_unplaced_tasks) {
             return;
@@ -339,10 +339,14 @@
         }
         if (!needs_trial(board, it)) {
             ++unplaced;
-        } else if (board.reserved_worker->empty() && trial_allowed(board, it)) {
-            reserve_worker(board);
+        } else if (!reservation_needed && trial_allowed(board, it)) {
+            reservation_needed = true;
+            reserve_worker(board, it);
         }
     }
+    if (!reservation_needed) {
+        reserved_worker_.put({});
+    }
 }
 
 duration dispatch_controller::expected_run_time(const job_board& board, const queue_name& queue,
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -57,14 +57,26 @@
                         [&](const auto& it) { return it.value.job == task.job; });
 }
 
-void dispatch_controller::reserve_worker(const job_board& board)
+bool dispatch_controller::suits(const job_board& board, const worker_id& id,
+                                const task_ref& task) const
 {
+    const worker_session* session = board.sessions.find(id);
+    const worker* entry = board.workers.find(id);
+    const job_order_fields& order = *(*board.jobs.find(task.job))->order;
+    return session != nullptr && session->phase == session_phase::ready && entry != nullptr &&
+           !(*entry)->draining && (*entry)->service == order.service &&
+           order.job->steps[task.step].need.fits((*entry)->capacity) && !board.trials.contains(id);
+}
+
+void dispatch_controller::reserve_worker(const job_board& board, const task_ref& task)
+{
+    if (suits(board, *board.reserved_worker, task)) {
+        return;
+    }
     std::uint32_t fewest_runs = std::numeric_limits<std::uint32_t>::max();
     worker_id found;
     for (const auto& it : board.worker_loads) {
-        const worker_session* session = board.sessions.find(it.key);
-        if (session == nullptr || session->phase != session_phase::ready ||
-            board.trials.contains(it.key) || it.value.runs >= fewest_runs) {
+        if (it.value.runs >= fewest_runs || !suits(board, it.key, task)) {
             continue;
         }
         fewest_runs = it.value.runs;
--- a/packages/core/tests/jobs/unit-crashing_tasks.cpp
+++ b/packages/core/tests/jobs/unit-crashing_tasks.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(a_silent_worker_counts_as_no_crash);
     CPPUNIT_TEST(a_draining_worker_that_ends_counts_as_no_crash);
     CPPUNIT_TEST(a_worker_is_kept_free_for_a_task_that_needs_it_alone);
+    CPPUNIT_TEST(no_worker_is_kept_free_that_cannot_run_the_task);
     CPPUNIT_TEST(few_trials_are_in_progress_at_a_time);
     CPPUNIT_TEST(no_trial_is_started_after_most_workers_crashed);
     CPPUNIT_TEST(the_count_outlives_the_job_and_its_resubmission);
@@ -161,6 +162,24 @@
         take_single_start();
     }
 
+    void no_worker_is_kept_free_that_cannot_run_the_task()
+    {
+        add_workers(2);
+        submit(1, first_job, 4); // both workers are full
+        for (const start_run& it : fixture_->take_actions<start_run>()) {
+            fixture_->accept_start(it);
+        }
+        worker_fields draining = job_fixture::make_worker("w-1");
+        draining.draining = true;
+        fixture_->deliver(worker_listed{draining});
+        crash_worker(worker_id("w-0"));
+        fixture_->advance(milliseconds(20));
+        CPPUNIT_ASSERT(fixture_->board().reserved_worker->empty());
+        fixture_->deliver(worker_listed{job_fixture::make_worker("w-1")});
+        fixture_->advance(milliseconds(20));
+        CPPUNIT_ASSERT(*fixture_->board().reserved_worker == worker_id("w-1"));
+    }
+
     void few_trials_are_in_progress_at_a_time()
     {
         constexpr std::size_t workers = 12;
