--- a/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
+++ b/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
@@ -26,8 +26,9 @@
     duration reconnect_delay = std::chrono::milliseconds(200);
 };
 
-/// TCP links between entry hosts. Each host opens a link to every other host and delegates jobs
-/// over it; the receiving host sends the outcomes and its load over the same link.
+/// TCP links between entry hosts. A host opens links to dispatchers and delegates jobs over them;
+/// the receiving host sends the outcomes and its load over the same link. Both ends tell each other
+/// the version of their configuration, send it on request, and pass crashes under tasks on.
 ///
 /// A delegated job is bound to its link: both ends treat a silent link as lost, so that the
 /// receiver stops the runs and the sender can rely on that. Not thread-safe: use it only on the
