--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$folder/../.." && pwd)"
 
-timeout --signal=TERM 118 "$root/target/review/stand_in" cancel-after-shift "$root" "$folder"
+timeout --signal=TERM 118 "$root/target/review/stand_in" label-of-former-incarnation "$root" "$folder"
 code=$?
 if ((code > 1)); then
     exit 2
--- a/review/stand_in/scenarios.cpp
+++ b/review/stand_in/scenarios.cpp
@@ -293,10 +293,14 @@
 
 bool play_crash_by_request(deployment& site, bool trouble)
 {
-    constexpr std::size_t listed_inputs = 5000;
+    constexpr std::uint32_t tasks_per_step = 70;
     constexpr int job_count = 14;
+    constexpr milliseconds job_period{5000};
     constexpr milliseconds deadline{1500};
     constexpr milliseconds resend_delay{1300};
+    constexpr milliseconds restart_period{300};
+    constexpr int ends_of_a_fault = 3;
+    constexpr int machines_of_a_fault = 2;
 
     std::vector<daemon_process*> daemons;
     for (int n = 1; n <= 3; ++n) {
@@ -315,7 +319,7 @@
                 it->start();
             }
         }
-        site.loop.after(milliseconds(300), restart_ended);
+        site.loop.after(restart_period, restart_ended);
     };
     restart_ended();
     const std::function<void(std::string, std::size_t)> submit = [&](const std::string& job,
@@ -329,23 +333,22 @@
                     });
     };
     for (int n = 0; n < job_count; ++n) {
-        step_definition second{.work = milliseconds(50), .after = {0}};
-        if (trouble) {
-            // One entry for each input of the step; all of them come from the first step.
-            second.after.assign(listed_inputs, 0);
-        }
-        submit(site.make_job({{.count = 4, .work = milliseconds(50)}, second}).id,
-               static_cast<std::size_t>(n));
-        site.loop.run_for(milliseconds(5000));
+        const step_definition first{.count = tasks_per_step, .cpu = 200, .work = milliseconds(50)};
+        step_definition second = first;
+        // Each task of the second step depends on each of the first. With the trouble the client
+        // lists the step once for each of these dependencies, else once.
+        second.after.assign(trouble ? tasks_per_step * tasks_per_step : 1, 0);
+        submit(site.make_job({first, second}).id, static_cast<std::size_t>(n));
+        site.loop.run_for(job_period);
     }
 
     int machines = 0;
     for (const auto& [name, count] : own_ends) {
-        machines += count >= 3 ? 1 : 0;
+        machines += count >= ends_of_a_fault ? 1 : 0;
         site.out.write("Fault: the process of " + name + " has ended by itself " +
                        std::to_string(count) + " times");
     }
-    return machines >= 2;
+    return machines >= machines_of_a_fault;
 }
 
 } // namespace review
