--- a/review/stand_in/scenarios.cpp
+++ b/review/stand_in/scenarios.cpp
@@ -86,15 +86,19 @@
     bool broken = false;
     for (const attempt& it : site.attempts) {
         const bool cut = it.ended_ms >= 0 && it.status == 0 && !it.timed_out;
+        if (!cut) {
+            continue;
+        }
         const auto runs = runs_of(site, it.job);
-        if (cut && !runs.empty()) {
-            broken = true;
-            site.out.write("LOST: job " + it.job + ", sent at " + std::to_string(it.sent_ms) +
-                           " ms, was started by a runner at " +
-                           std::to_string(runs.front()->started_ms) +
-                           " ms, and its connection ended without an answer at " +
-                           std::to_string(it.ended_ms) + " ms");
+        if (runs.empty()) {
+            continue; // it was not passed on to a runner
         }
+        broken = true;
+        site.out.write("LOST: job " + it.job + ", sent at " + std::to_string(it.sent_ms) +
+                       " ms, was started by a runner at " +
+                       std::to_string(runs.front()->started_ms) +
+                       " ms, and its connection ended without an answer at " +
+                       std::to_string(it.ended_ms) + " ms");
     }
     return broken;
 }
