Keep the runs of a worker that refuses connections until their lease has expired

Cause: a refused connection was taken as proof that the worker's process had ended. Its runs were ended at once and started elsewhere, and counted as crashes under their tasks. A refusal may come from a device on the way; only a later start of the process, the worker's own list of ends, or the end of the last lease shows that a run is over.

Change: a refusal makes the worker unreachable like any failed call, and its runs wait for one of the three. A run whose lease expires on a worker that refuses is kept as lost: if the worker comes back as another process, it counts as a crash under its task; if it reports with the same start, it does not. Until then its task runs alone on a worker, and after two lost runs waits, so that a task that does crash workers still takes few of them.

Tests: a_task_on_a_crashed_worker_restarts_at_once took the fault for right; it is replaced by a_task_on_a_worker_that_refuses_connections_waits_for_its_lease, with the same refusal and a check before and after the lease. The crash in unit-crashing_tasks is now a lost lease and a later start. Workers that run on behind a refusal are a new fault of the randomised runs.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -101,7 +101,9 @@
 
     // written by crash_controller
     table<task_id, std::uint32_t> task_crashes;   ///< workers that crashed under each task lately
-    table<worker_id, time_point> crashed_workers; ///< when each crashed, for a while
+    table<worker_id, time_point> crashed_workers; ///< when each (probably) crashed, for a while
+    /// Runs lost on workers that may have crashed, with the start of the worker's process.
+    table<lost_run_key, std::int64_t> lost_runs;
 
     // written by intake_controller
     cell<delegation_id> last_delegation_id;
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -211,7 +211,7 @@
 
 /// Why a `fetch_report` failed.
 enum class call_failure : std::uint8_t {
-    connection_refused, ///< nothing listens at the address, so the process is gone
+    connection_refused, ///< rejected on the way or by the worker's host; its process may go on
     connection_lost,    ///< the connection ended, or the answer was not readable
     timed_out,
     fenced,
@@ -277,12 +277,19 @@
     double ratio = 1; ///< measured divided by expected run time
 };
 
-/// All runs that this host started on the worker before an instant have ended: the process is gone,
-/// or their leases have expired.
+/// All runs that this host started on an unreachable worker have ended, because their leases have
+/// expired.
 struct worker_runs_terminated {
     worker_id worker;
-    time_point start_sent_before{};
-    run_outcome outcome = run_outcome::lease_expired; ///< of these runs
+    bool suspected_crash = false; ///< the worker refused connections, although it is not leaving
+};
+
+/// The lease of a run has expired on a worker that may have crashed. Only the next report of the
+/// worker tells whether it has.
+struct run_lost {
+    worker_id worker;
+    task_id task;
+    std::int64_t worker_started_at_ms = 0; ///< of the process that the run was sent to; 0: unknown
 };
 
 /// A worker crashed while it had a run of the task.
@@ -332,8 +339,8 @@
     delegation_withdrawn, delegator_lost, configuration_offered, configuration_requested,
     task_crashes_reported, worker_released, start_answered, stop_answered, report_received,
     report_failed, stop_requested, process_resumed, process_stopping, cell_acquired, cell_lost,
-    run_finished, run_stalled, run_time_measured, worker_runs_terminated, worker_crashed_under_task,
-    task_crashes_counted, worker_restarted, worker_ownership_lost, job_finished, job_delegated,
-    lease_extended>;
+    run_finished, run_stalled, run_time_measured, worker_runs_terminated, run_lost,
+    worker_crashed_under_task, task_crashes_counted, worker_restarted, worker_ownership_lost,
+    job_finished, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/state/worker_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/worker_state.hpp
@@ -36,10 +36,19 @@
     time_point lease_expired_by{};      ///< when the leases of all its runs have certainly expired
     std::vector<run_id> stray_runs;     ///< running, but not started by this dispatcher
     time_point stray_stop_sent_at{};    ///< when they were last sent a stop
+    bool connection_refused = false;    ///< at the last attempt to reach it
 
     auto operator<=>(const worker_session&) const = default;
 };
 
+/// A task whose run was lost on a worker.
+struct lost_run_key {
+    task_id task;
+    worker_id worker;
+
+    auto operator<=>(const lost_run_key&) const = default;
+};
+
 /// Load that this host has placed on a worker.
 struct worker_load {
     resources used;         ///< by the runs
--- a/packages/core/src/jobs/controllers/crash_controller.cpp
+++ b/packages/core/src/jobs/controllers/crash_controller.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace papayafall::jobs {
 
@@ -21,8 +22,19 @@
     return known == nullptr ? 0 : *known;
 }
 
+std::uint32_t possible_crashes_under(const job_board& board, const task_id& task)
+{
+    std::uint32_t n = crashes_under(board, task);
+    for (auto it = board.lost_runs.lower_bound({.task = task});
+         it != board.lost_runs.end() && it->key.task == task; ++it) {
+        ++n;
+    }
+    return n;
+}
+
 crash_controller::crash_controller(job_board& board)
-    : task_crashes_(board.task_crashes.claim()), crashed_workers_(board.crashed_workers.claim())
+    : task_crashes_(board.task_crashes.claim()), crashed_workers_(board.crashed_workers.claim()),
+      lost_runs_(board.lost_runs.claim())
 {
 }
 
@@ -30,15 +42,17 @@
                                 const clock_reading& now)
 {
     if (const auto* it = std::get_if<worker_crashed_under_task>(&incoming)) {
-        crashed_workers_.put(it->worker, now.steady, now.steady + worker_recovery_time);
-        const std::uint32_t crashes = crashes_under(board, it->task) + 1;
-        board.outbox.post(log_decision{"worker_crashed_under_task",
-                                       it->task.job.text(),
-                                       {{"worker", it->worker.text()},
-                                        {"step", std::to_string(it->task.step)},
-                                        {"task", std::to_string(it->task.task)},
-                                        {"crashes", std::to_string(crashes)}}});
-        set_crashes(board, it->task, crashes, now.steady);
+        count_crash(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<run_lost>(&incoming)) {
+        keep_lost_run(board, *it, now.steady);
+    }
+    if (const auto* it = std::get_if<report_received>(&incoming)) {
+        count_lost_runs(board, it->worker, it->report.started_at_ms);
+        forget_lost_runs(board, it->worker);
+    }
+    if (const auto* it = std::get_if<worker_listed>(&incoming)) {
+        count_lost_runs(board, it->entry->id, it->entry->started_at_ms);
     }
     if (const auto* it = std::get_if<task_crashes_reported>(&incoming);
         it != nullptr && it->crashes > crashes_under(board, it->task)) {
@@ -58,6 +72,63 @@
     while (const auto recovered = board.crashed_workers.expired(now.steady)) {
         crashed_workers_.erase(*recovered);
     }
+    while (const auto forgotten = board.lost_runs.expired(now.steady)) {
+        lost_runs_.erase(*forgotten);
+    }
+}
+
+void crash_controller::keep_lost_run(job_board& board, const run_lost& lost, time_point now)
+{
+    crashed_workers_.put(lost.worker, now, now + worker_recovery_time);
+    lost_runs_.put({lost.task, lost.worker}, lost.worker_started_at_ms, now + crash_memory_time);
+    board.outbox.post(log_decision{"run_lost",
+                                   lost.task.job.text(),
+                                   {{"worker", lost.worker.text()},
+                                    {"step", std::to_string(lost.task.step)},
+                                    {"task", std::to_string(lost.task.task)},
+                                    {"born", std::to_string(lost.worker_started_at_ms)}}});
+}
+
+void crash_controller::count_lost_runs(job_board& board, const worker_id& id,
+                                       std::int64_t started_at_ms)
+{
+    std::vector<lost_run_key> crashed;
+    for (const auto& it : board.lost_runs) {
+        if (it.key.worker == id && it.value != 0 && started_at_ms > it.value) {
+            crashed.push_back(it.key);
+        }
+    }
+    for (const lost_run_key& it : crashed) {
+        lost_runs_.erase(it);
+        board.raised.post(worker_crashed_under_task{id, it.task});
+    }
+}
+
+void crash_controller::forget_lost_runs(const job_board& board, const worker_id& id)
+{
+    std::vector<lost_run_key> forgotten;
+    for (const auto& it : board.lost_runs) {
+        if (it.key.worker == id) {
+            forgotten.push_back(it.key);
+        }
+    }
+    for (const lost_run_key& it : forgotten) {
+        lost_runs_.erase(it);
+    }
+}
+
+void crash_controller::count_crash(job_board& board, const worker_crashed_under_task& crash,
+                                   time_point now)
+{
+    crashed_workers_.put(crash.worker, now, now + worker_recovery_time);
+    const std::uint32_t crashes = crashes_under(board, crash.task) + 1;
+    board.outbox.post(log_decision{"worker_crashed_under_task",
+                                   crash.task.job.text(),
+                                   {{"worker", crash.worker.text()},
+                                    {"step", std::to_string(crash.task.step)},
+                                    {"task", std::to_string(crash.task.task)},
+                                    {"crashes", std::to_string(crashes)}}});
+    set_crashes(board, crash.task, crashes, now);
 }
 
 void crash_controller::set_crashes(job_board& board, const task_id& task, std::uint32_t crashes,
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -23,12 +23,17 @@
                       [](const auto& it) { return it.value.phase == session_phase::ready; }));
 }
 
+task_id id_of(const job_board& board, const task_ref& task)
+{
+    const job_state* job = board.jobs.find(task.job);
+    return {(*job)->order->job->id, task.step, task.index};
+}
+
 } // namespace
 
 bool needs_trial(const job_board& board, const task_ref& task)
 {
-    const job_state* job = board.jobs.find(task.job);
-    return crashes_under(board, {(*job)->order->job->id, task.step, task.index}) > 0;
+    return possible_crashes_under(board, id_of(board, task)) > 0;
 }
 
 void dispatch_controller::review_crashed_task(job_board& board, const task_id& task, time_point now)
@@ -49,7 +54,8 @@
 bool dispatch_controller::trial_allowed(const job_board& board, const task_ref& task) const
 {
     const std::size_t ready = count_ready_workers(board);
-    if (board.crashed_workers.size() > ready ||
+    if (possible_crashes_under(board, id_of(board, task)) >= max_task_crashes ||
+        board.crashed_workers.size() > ready ||
         board.trials.size() >= std::max<std::size_t>(1, ready / workers_per_trial)) {
         return false;
     }
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -359,14 +359,18 @@
                                               const worker_runs_terminated& terminated,
                                               time_point now)
 {
+    const worker_session* session = board.sessions.find(terminated.worker);
     for (const run_id& it : runs_on_worker(board, terminated.worker)) {
-        if (board.runs.find(it)->start_sent_at >= terminated.start_sent_before) {
+        const run_state& run = *board.runs.find(it);
+        if (session != nullptr && has_restarted(run, session->started_at_ms)) {
+            end_run(board, it, run_outcome::worker_crashed, now);
             continue;
         }
-        const worker_session* session = board.sessions.find(terminated.worker);
-        const bool restarted =
-            session != nullptr && has_restarted(*board.runs.find(it), session->started_at_ms);
-        end_run(board, it, restarted ? run_outcome::worker_crashed : terminated.outcome, now);
+        if (terminated.suspected_crash) {
+            board.raised.post(
+                run_lost{terminated.worker, {it.job, it.step, it.task}, run.worker_started_at_ms});
+        }
+        end_run(board, it, run_outcome::lease_expired, now);
     }
 }
 
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -54,12 +54,11 @@
             .lease_expired_by = previous.lease_expired_by};
 }
 
-/// Outcome of the runs of a worker whose process has ended. A draining worker ends as planned.
-run_outcome outcome_of_ended_process(const job_board& board, const worker_id& id)
+/// Whether the worker seems to have crashed. A draining worker ends as planned.
+bool is_crash_suspected(const job_board& board, const worker_id& id, const worker_session& session)
 {
     const worker* entry = board.workers.find(id);
-    return entry != nullptr && (*entry)->draining ? run_outcome::unknown
-                                                  : run_outcome::worker_crashed;
+    return session.connection_refused && (entry == nullptr || !(*entry)->draining);
 }
 
 } // namespace
@@ -258,6 +257,7 @@
         report.started_at_ms != 0 ? report.started_at_ms : session.started_at_ms;
     session.clock = report.clock;
     session.clock_read_at = now;
+    session.connection_refused = false;
     for (const ended_run& it : report.ended) {
         if (it.sequence > session.handled_end) {
             board.raised.post(run_finished{received.worker, it.run, it.outcome});
@@ -311,11 +311,9 @@
         sessions_.put(failed.worker, std::move(session));
         return;
     }
-    const bool process_gone = failed.reason == call_failure::connection_refused;
-    if (process_gone) {
-        board.raised.post(worker_runs_terminated{failed.worker, failed.sent_at,
-                                                 outcome_of_ended_process(board, failed.worker)});
-    }
+    // The runs are not known to have ended: a refusal may come from a device on the way, and the
+    // worker goes on behind it. Its next report or the end of their lease decides.
+    session.connection_refused = failed.reason == call_failure::connection_refused;
     if (session.phase == session_phase::ready) {
         board.outbox.post(log_decision{
             "worker_unreachable", failed.worker.text(), {{"reason", to_string(failed.reason)}}});
@@ -325,7 +323,7 @@
         sessions_.put(failed.worker, std::move(session));
         return;
     }
-    const bool retries_now = session.phase == session_phase::ready && !process_gone;
+    const bool retries_now = session.phase == session_phase::ready && !session.connection_refused;
     session.phase = session_phase::unreachable;
     session.report_sent_at = now;
     if (retries_now) {
@@ -378,7 +376,7 @@
     const bool silent =
         session.phase == session_phase::unreachable || (entry == nullptr && !answers);
     if (silent && busy && now >= session.lease_expired_by) {
-        board.raised.post(worker_runs_terminated{id, now, run_outcome::lease_expired});
+        board.raised.post(worker_runs_terminated{id, is_crash_suspected(board, id, session)});
     }
     const bool has_unacknowledged_ends = session.handled_end > session.acknowledged_end;
     if (entry == nullptr) {
--- a/packages/core/tests/jobs/unit-crashing_tasks.cpp
+++ b/packages/core/tests/jobs/unit-crashing_tasks.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(a_task_under_which_a_worker_crashed_shares_its_next_worker_with_no_other);
     CPPUNIT_TEST(a_task_that_was_beside_the_crashing_one_succeeds);
     CPPUNIT_TEST(a_silent_worker_counts_as_no_crash);
+    CPPUNIT_TEST(a_worker_that_only_refused_connections_counts_as_no_crash);
+    CPPUNIT_TEST(a_lost_run_counts_as_a_crash_once_its_worker_has_restarted);
+    CPPUNIT_TEST(a_task_that_may_have_crashed_a_worker_runs_alone);
     CPPUNIT_TEST(a_draining_worker_that_ends_counts_as_no_crash);
     CPPUNIT_TEST(a_worker_is_kept_free_for_a_task_that_needs_it_alone);
     CPPUNIT_TEST(no_worker_is_kept_free_that_cannot_run_the_task);
@@ -121,6 +124,61 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, crashes_of(first));
     }
 
+    // Guards against jobs answered as failed without a cause: two refused connections counted as
+    // two crashes under a task.
+    void a_worker_that_only_refused_connections_counts_as_no_crash()
+    {
+        add_workers(6);
+        submit(1, first_job);
+        const start_run first = take_single_start();
+        fixture_->accept_start(first);
+        lose_runs(first.to.id);
+        const start_run second = take_single_start();
+        fixture_->accept_start(second);
+        lose_runs(second.to.id);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, crashes_of(first));
+        CPPUNIT_ASSERT(fixture_->take_actions<answer_job>().empty());
+        fixture_->deliver_report(first.to.id.text(), {});
+        fixture_->deliver_report(second.to.id.text(), {});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, crashes_of(first));
+        CPPUNIT_ASSERT(fixture_->board().lost_runs.empty());
+        fixture_->report_run_end(take_single_start(), run_outcome::done);
+        expect_answer(job_outcome::succeeded);
+    }
+
+    void a_lost_run_counts_as_a_crash_once_its_worker_has_restarted()
+    {
+        add_workers(6);
+        submit(1, first_job);
+        const start_run first = take_single_start();
+        fixture_->accept_start(first);
+        lose_runs(first.to.id);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, crashes_of(first));
+        fixture_->deliver_report(first.to.id.text(), {.started_at_ms = ++last_start_ms_});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, crashes_of(first));
+        const start_run second = take_single_start();
+        fixture_->accept_start(second);
+        lose_runs(second.to.id);
+        fixture_->deliver_report(second.to.id.text(), {.started_at_ms = ++last_start_ms_});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, crashes_of(first));
+        expect_answer(job_outcome::failed);
+    }
+
+    void a_task_that_may_have_crashed_a_worker_runs_alone()
+    {
+        add_workers(3);
+        submit(1, first_job);
+        const start_run first = take_single_start();
+        fixture_->accept_start(first);
+        lose_runs(first.to.id);
+        const start_run trial = take_single_start();
+        fixture_->accept_start(trial);
+        submit(2, second_job, 8);
+        for (const start_run& it : fixture_->take_actions<start_run>()) {
+            CPPUNIT_ASSERT(it.to.id != trial.to.id);
+        }
+    }
+
     void a_draining_worker_that_ends_counts_as_no_crash()
     {
         add_workers(6);
@@ -130,8 +188,9 @@
         worker_fields draining = job_fixture::make_worker(first.to.id.text());
         draining.draining = true;
         fixture_->deliver(worker_listed{draining});
-        crash_worker(first.to.id);
+        lose_runs(first.to.id);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, crashes_of(first));
+        CPPUNIT_ASSERT(fixture_->board().lost_runs.empty());
         take_single_start();
     }
 
@@ -295,14 +354,29 @@
         crash_worker(it.to.id);
     }
 
-    /// The process of a worker is gone: the connection to it is refused.
+    /// The process of a worker ends, and is listed again when the lease of its runs has expired.
     void crash_worker(const worker_id& id)
     {
         fixture_->advance(milliseconds(10));
+        lose_runs(id);
+        worker_fields restarted = **fixture_->board().workers.find(id);
+        restarted.started_at_ms = ++last_start_ms_;
+        fixture_->deliver(worker_listed{restarted});
+    }
+
+    void refuse_connection(const worker_id& id)
+    {
         fixture_->deliver(report_failed{id, fixture_->board().sessions.find(id)->token,
                                         call_failure::connection_refused, fixture_->now(), true});
     }
 
+    /// The worker refuses connections until the lease of its runs has expired.
+    void lose_runs(const worker_id& id)
+    {
+        refuse_connection(id);
+        fixture_->advance(milliseconds(1200));
+    }
+
     std::uint32_t crashes_of(const start_run& it) const
     {
         const std::uint32_t* found =
@@ -318,6 +392,7 @@
     }
 
     std::unique_ptr<job_fixture> fixture_;
+    std::int64_t last_start_ms_ = 2000; ///< of a worker's process that was started last
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(crashing_tasks_test);
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -19,7 +19,8 @@
     CPPUNIT_TEST(a_failed_task_is_retried_on_another_worker);
     CPPUNIT_TEST(an_unanswered_start_is_stopped_before_the_task_restarts_elsewhere);
     CPPUNIT_TEST(a_task_on_an_unreachable_worker_restarts_after_its_lease_has_lapsed);
-    CPPUNIT_TEST(a_task_on_a_crashed_worker_restarts_at_once);
+    CPPUNIT_TEST(a_task_on_a_worker_that_refuses_connections_waits_for_its_lease);
+    CPPUNIT_TEST(a_run_goes_on_when_a_worker_that_refused_connections_reports_it);
     CPPUNIT_TEST(a_run_that_a_restarted_worker_does_not_report_restarts);
     CPPUNIT_TEST(a_run_that_a_restarted_worker_reports_continues);
     CPPUNIT_TEST(a_refused_connection_does_not_end_runs_started_later);
@@ -134,16 +135,41 @@
         CPPUNIT_ASSERT(fixture_->now() - failed_at > fixture_->board().parameters.longest_lease);
     }
 
-    void a_task_on_a_crashed_worker_restarts_at_once()
+    // Guards against two concurrent runs of a task: a worker that was cut off refused connections
+    // and went on, and its tasks were started elsewhere.
+    void a_task_on_a_worker_that_refuses_connections_waits_for_its_lease()
     {
         const auto first = submit_and_take_starts(1, 1);
         fixture_->accept_start(first[0]);
         fixture_->advance(milliseconds(10));
-        fixture_->deliver(report_failed{first[0].to.id, first[0].to.token,
-                                        call_failure::connection_refused, fixture_->now(), true});
+        const time_point refused_at = fixture_->now();
+        refuse_connection(first[0]);
+        fixture_->advance(milliseconds(500));
+        refuse_connection(first[0]);
+        fixture_->advance(milliseconds(400));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        CPPUNIT_ASSERT(fixture_->board().runs.contains(first[0].run));
+        fixture_->advance(milliseconds(300));
         const auto second = fixture_->take_actions<start_run>();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
         CPPUNIT_ASSERT(second[0].to.id != first[0].to.id);
+        CPPUNIT_ASSERT(fixture_->now() - refused_at > fixture_->board().parameters.longest_lease);
+    }
+
+    void a_run_goes_on_when_a_worker_that_refused_connections_reports_it()
+    {
+        const auto first = submit_and_take_starts(1, 1);
+        fixture_->accept_start(first[0]);
+        fixture_->advance(milliseconds(10));
+        refuse_connection(first[0]);
+        fixture_->advance(milliseconds(400));
+        worker_report report;
+        report.running.push_back({.run = first[0].run, .progress_percent = 50});
+        fixture_->deliver_report(first[0].to.id.text(), report);
+        fixture_->advance(milliseconds(800));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        fixture_->report_run_end(first[0], run_outcome::done);
+        expect_single_answer(job_outcome::succeeded);
     }
 
     void a_run_that_a_restarted_worker_does_not_report_restarts()
@@ -390,6 +416,12 @@
         fixture_->deliver(worker_listed{it});
     }
 
+    void refuse_connection(const start_run& it)
+    {
+        fixture_->deliver(report_failed{it.to.id, it.to.token, call_failure::connection_refused,
+                                        fixture_->now(), true});
+    }
+
     std::vector<start_run> submit_and_take_starts(std::uint64_t call, std::uint32_t tasks)
     {
         const std::string id =
--- a/packages/core/tests/random/jobs/dispatcher_actions.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_actions.cpp
@@ -255,7 +255,7 @@
 
 void dispatcher_model::call(
     const jobs::worker_id& id, time_point timeout_at, const jobs::job_event& unanswered,
-    const jobs::job_event& worker_down,
+    const jobs::job_event& refused,
     const std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)>& execute,
     bool may_delay)
 {
@@ -278,15 +278,19 @@
                             });
         return;
     }
-    context_.network.carry(name(), id.text(), [this, &worker, id, execute, settle, worker_down] {
-        const auto answer = [this, id, settle](const jobs::job_event& it) {
+    context_.network.carry(name(), id.text(), [this, &worker, id, execute, settle, refused] {
+        const auto carry = [this, id, settle](const jobs::job_event& it) {
             context_.network.carry(id.text(), name(), [settle, it] { settle(it); });
         };
-        if (!worker.up()) {
-            answer(worker_down);
+        if (!worker.up() || worker.rejects_connections()) {
+            carry(refused);
             return;
         }
-        execute(worker, answer);
+        execute(worker, [&worker, carry](const jobs::job_event& it) {
+            if (!worker.rejects_connections()) {
+                carry(it);
+            }
+        });
     });
 }
 
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -121,12 +121,12 @@
 
     /// Calls a worker over the network.
     ///
-    /// @param timeout_at  when `unanswered` is delivered, unless an answer came before
-    /// @param worker_down delivered when the worker's process is not running
-    /// @param execute     carries out the call on the worker; answers through its second argument
-    /// @param may_delay   whether the call is subject to `simulation_context::delay_worker_calls`
+    /// @param timeout_at when `unanswered` is delivered, unless an answer came before
+    /// @param refused    delivered when the worker is down or its connections are rejected
+    /// @param execute    carries out the call on the worker; answers through its second argument
+    /// @param may_delay  whether the call is subject to `simulation_context::delay_worker_calls`
     void call(const jobs::worker_id& id, time_point timeout_at, const jobs::job_event& unanswered,
-              const jobs::job_event& worker_down,
+              const jobs::job_event& refused,
               const std::function<void(worker_model&, const std::function<void(jobs::job_event)>&)>&
                   execute,
               bool may_delay);
--- a/packages/core/tests/random/jobs/job_world.cpp
+++ b/packages/core/tests/random/jobs/job_world.cpp
@@ -216,7 +216,7 @@
 {
     ++faults_;
     dispatcher_model* const host = random_live_host();
-    switch (rng_.between(0, 9)) {
+    switch (rng_.between(0, 11)) {
     case 0:
     case 1:
         if (host != nullptr) {
@@ -252,6 +252,10 @@
     case 8:
         crash_random_worker();
         break;
+    case 9:
+    case 10:
+        reject_connections_to_workers();
+        break;
     default:
         delay_worker_calls_ = true;
         time_.after(rng_.milliseconds(500, 3000), [this] { delay_worker_calls_ = false; });
@@ -306,6 +310,19 @@
     }
 }
 
+void job_world::reject_connections_to_workers()
+{
+    for (const auto& [id, it] : workers_) {
+        if (!rng_.percent(30)) {
+            continue;
+        }
+        history_.note("connections rejected: " + id.text(), time_.now());
+        it->set_rejects_connections(true);
+        time_.after(rng_.milliseconds(100, 4000),
+                    [&worker = *it] { worker.set_rejects_connections(false); });
+    }
+}
+
 void job_world::crash_worker(worker_model& worker)
 {
     worker.crash();
@@ -324,6 +341,9 @@
     network_.restore_all();
     store_.set_up(true);
     delay_worker_calls_ = false;
+    for (const auto& [id, it] : workers_) {
+        it->set_rejects_connections(false);
+    }
 }
 
 dispatcher_model* job_world::random_live_host()
--- a/packages/core/tests/random/jobs/job_world.hpp
+++ b/packages/core/tests/random/jobs/job_world.hpp
@@ -60,6 +60,8 @@
     void cut_network_paths();
     void make_store_unavailable();
     void crash_random_worker();
+    /// Rejects connections to some workers for a while; their processes go on.
+    void reject_connections_to_workers();
     /// Crashes a worker and starts it again later.
     void crash_worker(worker_model& worker);
     void clear_faults();
--- a/packages/core/tests/random/jobs/worker_model.hpp
+++ b/packages/core/tests/random/jobs/worker_model.hpp
@@ -35,6 +35,11 @@
 
     bool up() const noexcept { return up_; }
 
+    /// Whether connections to it are rejected while its process runs on.
+    bool rejects_connections() const noexcept { return rejects_connections_; }
+
+    void set_rejects_connections(bool rejects) { rejects_connections_ = rejects; }
+
     /// Changes with every crash and every restart.
     std::uint64_t generation() const noexcept { return generation_; }
 
@@ -86,6 +91,7 @@
     job_history& history_;
     std::function<void(worker_model&)> crash_;
     bool up_ = false;
+    bool rejects_connections_ = false;
     std::uint64_t generation_ = 0;
     time_point booted_at_{};
     std::int64_t clock_rate_percent_ = 100; ///< speed of its clock relative to the virtual time
