Tell hosts that are linked later how many workers crashed under each task

A task that crashes workers took two more of them at each host that had started, or was linked, after the first crashes: the counts were sent to the hosts that were linked at that moment only.

--- a/packages/core/include/papayafall/core/jobs/controllers/crash_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/crash_controller.hpp
@@ -7,7 +7,8 @@
 /// Counts the workers that crashed while they ran a task.
 ///
 /// A crash may be the fault of any task on the worker, or of none. The counts outlive the job, its
-/// dispatcher and its resubmission: they are kept for a while and passed on to the linked hosts.
+/// dispatcher and its resubmission: they are kept for a while and passed on to the linked hosts,
+/// also to those that are linked later.
 ///
 /// A worker that refuses connections may have crashed or may only be cut off. Its lost runs are
 /// kept until it reports again: only a later start of its process counts as a crash.
@@ -28,6 +29,7 @@
     /// Forgets the lost runs of a worker that reports again.
     void forget_lost_runs(const job_board& board, const worker_id& id);
     void count_crash(job_board& board, const worker_crashed_under_task& crash, time_point now);
+    static void publish_all_crashes(job_board& board);
     void set_crashes(job_board& board, const task_id& task, std::uint32_t crashes, time_point now);
 
     table_writer<task_id, std::uint32_t> task_crashes_;
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -141,6 +141,11 @@
     job_origin origin;
 };
 
+/// The incoming connection of a delegating host is established.
+struct delegator_connected {
+    link_number link;
+};
+
 /// The incoming connection of a delegating host has ended.
 struct delegator_lost {
     link_number link;
@@ -336,11 +341,11 @@
     worker_unlisted, workers_followed, host_listed, host_unlisted, claim_listed, claim_unlisted,
     claim_answered, job_submitted, queue_length_requested, job_status_requested, call_abandoned,
     peer_connected, peer_lost, load_reported, delegation_answered, delegation_received,
-    delegation_withdrawn, delegator_lost, configuration_offered, configuration_requested,
-    task_crashes_reported, worker_released, start_answered, stop_answered, report_received,
-    report_failed, stop_requested, process_resumed, process_stopping, cell_acquired, cell_lost,
-    run_finished, run_stalled, run_time_measured, worker_runs_terminated, run_lost,
-    worker_crashed_under_task, task_crashes_counted, worker_restarted, worker_ownership_lost,
-    job_finished, job_delegated, lease_extended>;
+    delegation_withdrawn, delegator_connected, delegator_lost, configuration_offered,
+    configuration_requested, task_crashes_reported, worker_released, start_answered, stop_answered,
+    report_received, report_failed, stop_requested, process_resumed, process_stopping,
+    cell_acquired, cell_lost, run_finished, run_stalled, run_time_measured, worker_runs_terminated,
+    run_lost, worker_crashed_under_task, task_crashes_counted, worker_restarted,
+    worker_ownership_lost, job_finished, job_delegated, lease_extended>;
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/crash_controller.cpp
+++ b/packages/core/src/jobs/controllers/crash_controller.cpp
@@ -58,6 +58,10 @@
         it != nullptr && it->crashes > crashes_under(board, it->task)) {
         set_crashes(board, it->task, it->crashes, now.steady);
     }
+    if (std::holds_alternative<peer_connected>(incoming) ||
+        std::holds_alternative<delegator_connected>(incoming)) {
+        publish_all_crashes(board);
+    }
     if (const auto* it = std::get_if<run_finished>(&incoming);
         it != nullptr && it->outcome == run_outcome::done) {
         task_crashes_.erase({it->run.job, it->run.step, it->run.task});
@@ -131,6 +135,13 @@
     set_crashes(board, crash.task, crashes, now);
 }
 
+void crash_controller::publish_all_crashes(job_board& board)
+{
+    for (const auto& it : board.task_crashes) {
+        board.outbox.post(publish_task_crashes{it.key, it.value});
+    }
+}
+
 void crash_controller::set_crashes(job_board& board, const task_id& task, std::uint32_t crashes,
                                    time_point now)
 {
--- a/packages/core/tests/jobs/unit-crashing_tasks.cpp
+++ b/packages/core/tests/jobs/unit-crashing_tasks.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(no_trial_is_started_after_most_workers_crashed);
     CPPUNIT_TEST(the_count_outlives_the_job_and_its_resubmission);
     CPPUNIT_TEST(the_count_of_another_host_is_used_and_passed_on_once);
+    CPPUNIT_TEST(a_host_that_is_linked_later_is_told_the_counts);
     CPPUNIT_TEST(a_resubmitted_job_that_was_given_up_is_not_started);
     CPPUNIT_TEST(the_count_is_forgotten_after_a_while);
     CPPUNIT_TEST_SUITE_END();
@@ -309,6 +310,21 @@
         expect_answer(job_outcome::failed);
     }
 
+    // Guards against a task that crashes two workers again at each host that was started after it.
+    void a_host_that_is_linked_later_is_told_the_counts()
+    {
+        const task_id task{job_id(first_job), 0, 0};
+        fixture_->deliver(task_crashes_reported{task, 1});
+        fixture_->take_actions<publish_task_crashes>();
+        fixture_->deliver(peer_connected{host_name("entry-2"), incarnation_id(1)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<publish_task_crashes>().size());
+        fixture_->deliver(delegator_connected{link_number(3)});
+        const auto published = fixture_->take_actions<publish_task_crashes>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, published.size());
+        CPPUNIT_ASSERT(published[0].task == task);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, published[0].crashes);
+    }
+
     void a_resubmitted_job_that_was_given_up_is_not_started()
     {
         add_workers(6);
--- a/packages/core/tests/random/jobs/link_model.cpp
+++ b/packages/core/tests/random/jobs/link_model.cpp
@@ -28,6 +28,7 @@
         it.last_received_at = time_.now();
     }
     send(0, jobs::peer_connected{host_name(sides_[1].end.host), sides_[1].end.incarnation});
+    send(1, jobs::delegator_connected{number_});
     check_silence();
 }
 
--- a/packages/daemon/src/jobs/job_link.hpp
+++ b/packages/daemon/src/jobs/job_link.hpp
@@ -240,6 +240,7 @@
         if (const auto* it = std::get_if<link_hello>(&message)) {
             set_peer(it->host);
             write(link_hello{owner().options_.host, owner().options_.incarnation});
+            owner().events_.post(delegator_connected{number()});
             write_configuration_version();
         }
         if (const auto* it = std::get_if<link_delegation>(&message)) {
