Take requests for as old as their arrival, and drop those whose caller has left

Cause: the time at which a request was read counted as the time at which it was sent. The end of the connection was noticed one iteration of the event loop later, after the first orders to workers.

Change: the kernel's age of the last received data (TCP_INFO) dates a request, also if the process did not run in between, so that its objective and its caller's deadline are known; after that deadline it is refused at once as not run. A request behind which the connection has ended is dropped unread. The first request on a connection that has been open for 250 ms may have been delayed on its way and is held back for 20 ms, because the end of the connection may be one round trip behind it.

A request of 100 ms or more is logged as late_request with its age; job_abandoned tells how long the call was open.

--- a/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
@@ -29,7 +29,7 @@
     void report_queue_length(job_board& board, const queue_length_requested& request);
     void report_or_cancel_job(job_board& board, const job_status_requested& request,
                               time_point now);
-    void abandon_call(job_board& board, call_id call);
+    void abandon_call(job_board& board, call_id call, time_point now);
     void interrupt_calls_of_peer(job_board& board, const host_name& host, time_point now);
     void interrupt_all_calls(job_board& board, time_point now);
     void on_delegation_answered(job_board& board, const delegation_answered& answered,
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -80,8 +80,8 @@
     std::string hostname;
     std::string path;
     job_spec job;
-    time_point received_at;
-    time_point answer_by; ///< when the caller stops waiting
+    time_point received_at; ///< when it arrived at this host, possibly long before it was read
+    time_point answer_by;   ///< when the caller stops waiting
 };
 
 /// A caller asks how many jobs wait in a queue.
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -1,5 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
+#include "log_text.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -19,11 +21,6 @@
 /// Time between two reviews of a running job whose answer is no longer useful.
 constexpr duration late_job_review_period = std::chrono::milliseconds(500);
 
-std::string milliseconds_of(duration it)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
-}
-
 void log_job_end(job_board& board, const job_state_fields& job, job_outcome outcome, time_point now)
 {
     const job_order_fields& order = *job.order;
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -1,5 +1,7 @@
 #include "papayafall/core/jobs/controllers/intake_controller.hpp"
 
+#include "log_text.hpp"
+
 #include "papayafall/core/jobs/controllers/configuration_controller.hpp"
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
@@ -21,6 +23,9 @@
 /// Multiple of the objective after which an answer is no longer useful.
 constexpr int useful_objective_multiple = 3;
 
+/// Age of a request, when it is read, from which it is logged.
+constexpr duration late_request_age = std::chrono::milliseconds(100);
+
 /// Whether jobs of this kind are served.
 bool is_supported(const job_spec_fields& job)
 {
@@ -79,7 +84,7 @@
         report_or_cancel_job(board, *it, now.steady);
     }
     if (const auto* it = std::get_if<call_abandoned>(&incoming)) {
-        abandon_call(board, it->call);
+        abandon_call(board, it->call, now.steady);
     }
     if (const auto* it = std::get_if<peer_lost>(&incoming)) {
         interrupt_calls_of_peer(board, it->host, now.steady);
@@ -107,6 +112,18 @@
 {
     const queue_configuration_fields& configuration = **board.configuration;
     const std::string& id = submitted.job->id.text();
+    if (now - submitted.received_at >= late_request_age) {
+        board.outbox.post(log_decision{"late_request",
+                                       id,
+                                       {{"age_ms", milliseconds_of(now - submitted.received_at)},
+                                        {"left_ms", milliseconds_of(submitted.answer_by - now)}}});
+    }
+    if (now >= submitted.answer_by) {
+        board.outbox.post(log_decision{"job_refused", id, {{"reason", "caller_deadline"}}});
+        board.outbox.post(
+            answer_job{submitted.call, job_outcome::refused, now + refused_retry_delay, now});
+        return;
+    }
     if (configuration.version == 0) {
         board.outbox.post(log_decision{"job_refused", id, {{"reason", "no_configuration"}}});
         board.outbox.post(
@@ -162,11 +179,12 @@
     const delegation_id delegation = board.last_delegation_id->next();
     last_delegation_id_.put(delegation);
     calls_by_delegation_.put(delegation, call);
-    calls_.put(call, accepted.with([&](accepted_call_fields& it) {
+    const auto placed = accepted.with([&](accepted_call_fields& it) {
         it.delegation = delegation;
         it.dispatcher = to;
         ++it.attempts;
-    }));
+    });
+    calls_.put(call, placed);
     if (to == board.self.host) {
         board.raised.post(
             delegation_received{{.link = {}, .delegation = delegation}, accepted->order});
@@ -223,7 +241,7 @@
                                                                      : job_status::running});
 }
 
-void intake_controller::abandon_call(job_board& board, call_id call)
+void intake_controller::abandon_call(job_board& board, call_id call, time_point now)
 {
     const accepted_call* found = board.calls.find(call);
     if (found == nullptr) {
@@ -232,7 +250,8 @@
     const accepted_call accepted = *found;
     board.outbox.post(log_decision{"job_abandoned",
                                    accepted->order->job->id.text(),
-                                   {{"dispatcher", accepted->dispatcher.text()}}});
+                                   {{"dispatcher", accepted->dispatcher.text()},
+                                    {"ms", milliseconds_of(now - accepted->order->received_at)}}});
     cancel_delegation(board, accepted);
     calls_by_delegation_.erase(accepted->delegation);
     calls_.erase(call);
@@ -300,15 +319,13 @@
 {
     const accepted_call accepted = *board.calls.find(call);
     const job_order_fields& order = *accepted->order;
-    const auto taken =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - order.received_at);
     board.outbox.post(log_decision{"job_answered",
                                    order.job->id.text(),
                                    {{"outcome", to_string(outcome)},
                                     {"decided_by", decided_by},
                                     {"dispatcher", accepted->dispatcher.text()},
                                     {"attempts", std::to_string(accepted->attempts)},
-                                    {"ms", std::to_string(taken.count())},
+                                    {"ms", milliseconds_of(now - order.received_at)},
                                     {"late", now > order.objective_deadline ? "1" : "0"}}});
     board.outbox.post(answer_job{call, outcome, now + refused_retry_delay, order.received_at});
     calls_by_delegation_.erase(accepted->delegation);
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(a_worker_whose_capacity_shrinks_gets_no_more_than_that);
     CPPUNIT_TEST(a_job_that_would_miss_its_objective_is_refused_early);
     CPPUNIT_TEST(a_waiting_job_is_refused_when_its_caller_stops_waiting);
+    CPPUNIT_TEST(a_request_that_is_read_after_its_callers_deadline_is_not_run);
     CPPUNIT_TEST(unsupported_kinds_of_jobs_are_refused);
     CPPUNIT_TEST(a_delegated_job_of_a_removed_queue_is_answered_as_unknown_queue);
     CPPUNIT_TEST(a_resumed_process_interrupts_its_jobs);
@@ -359,6 +360,22 @@
         expect_single_answer(job_outcome::refused);
     }
 
+    // Guards against two concurrent runs of a task: a host that did not run for seconds started the
+    // jobs that had arrived meanwhile, and that their callers had submitted elsewhere.
+    void a_request_that_is_read_after_its_callers_deadline_is_not_run()
+    {
+        fixture_->acquire_cell();
+        fixture_->add_worker("w-1");
+        job_spec_fields job = *job_fixture::make_job("00000000000000a1");
+        job.steps.front().estimated_run_time = std::chrono::seconds(5); // the objective is far away
+        const time_point received_at = fixture_->now() - std::chrono::seconds(3);
+        fixture_->deliver(job_submitted{call_id(1), "desk.example", "/check/00000000000000a1", job,
+                                        received_at, received_at + milliseconds(1500)});
+        expect_single_answer(job_outcome::refused);
+        fixture_->advance(std::chrono::seconds(1));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+    }
+
     void unsupported_kinds_of_jobs_are_refused()
     {
         job_spec_fields it = *job_fixture::make_job("00000000000000a1");
--- a/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
@@ -9,8 +9,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace papayafall {
 
@@ -23,7 +25,11 @@
     virtual ~request_handler() = default;
 
     /// A complete request arrived. Answer it with `request_server::answer`, now or later.
-    virtual void on_request(call_id call, const http_request_message& request) = 0;
+    ///
+    /// @param received_at when this host received it, which is earlier than now if the process did
+    ///                    not run in between
+    virtual void on_request(call_id call, const http_request_message& request,
+                            time_point received_at) = 0;
 
     /// The caller closed the connection before the answer.
     virtual void on_abandoned(call_id call) = 0;
@@ -35,12 +41,19 @@
     http_limits limits;
     /// Time that a caller has to send the rest of a request after its first byte.
     duration receive_timeout = std::chrono::seconds(5);
+    /// Age of a connection from which its first request may have been delayed on its way.
+    duration first_request_timeout = std::chrono::milliseconds(250);
+    /// Time for which such a request is held back, because the end of the connection may follow it.
+    duration delayed_request_hold = std::chrono::milliseconds(20);
     /// Further connections are closed immediately.
     std::size_t max_connections = 2000;
 };
 
 /// HTTP/1.1 server on one address that handles one request at a time on each connection. Not
 /// thread-safe: use it only on the thread that created it.
+///
+/// A request whose caller has already closed the connection is dropped: the caller may have sent it
+/// elsewhere since.
 class request_server {
   public:
     /// @throws configuration_error if the server cannot listen on the address
@@ -58,7 +71,8 @@
     /// From now on closes each connection after its next answer.
     void close_after_answers() noexcept { closing_after_answers_ = true; }
 
-    /// Closes the connections whose incomplete request exceeds the time limit.
+    /// Closes the connections whose incomplete request exceeds the time limit, and passes on the
+    /// requests that were held back.
     void on_tick(time_point now);
 
   private:
@@ -66,6 +80,8 @@
 
     void accept();
     void remove_connection(std::uint64_t number);
+    std::vector<std::uint64_t>
+    connections_where(const std::function<bool(const connection&)>& condition) const;
 
     request_server_options options_;
     request_handler& handler_;
--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -1,6 +1,9 @@
 #include "papayafall/daemon/kept/request_server.hpp"
 
+#include "socket_state.hpp"
+
 #include "papayafall/core/errors/exception.hpp"
+#include "papayafall/daemon/logging/log.hpp"
 #include "papayafall/platform/clock/clock_source.hpp"
 #include "papayafall/platform/http/http_status_code.hpp"
 #include "papayafall/platform/http/socket_options.hpp"
@@ -25,7 +28,8 @@
 class request_server::connection {
   public:
     connection(request_server& owner, std::uint64_t number, QTcpSocket* socket)
-        : owner_(owner), number_(number), socket_(socket), reader_(owner.options_.limits)
+        : owner_(owner), number_(number), socket_(socket), reader_(owner.options_.limits),
+          first_request_deadline_(steady_now() + owner.options_.first_request_timeout)
     {
         set_socket_options(*socket_);
         QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
@@ -62,10 +66,24 @@
 
     bool overdue(time_point now) const noexcept { return now >= receive_deadline_; }
 
+    /// Whether a request was held back until now.
+    bool is_hold_over(time_point now) const noexcept
+    {
+        return held_request_ && now >= hold_deadline_;
+    }
+
+    /// Passes the request on that was held back.
+    void end_hold()
+    {
+        const auto held = std::exchange(held_request_, std::nullopt);
+        pass_on(*held);
+    }
+
   private:
     void receive()
     {
         const QByteArray received = socket_->readAll();
+        received_at_ = steady_now() - age_of_received_data(*socket_);
         reader_.feed({received.data(), static_cast<std::size_t>(received.size())});
         if (!call_) {
             handle_next_request();
@@ -77,9 +95,12 @@
 
     void handle_next_request()
     {
+        if (held_request_) {
+            return;
+        }
         try {
-            auto request = reader_.next();
-            if (!request) {
+            const auto next = reader_.next();
+            if (!next) {
                 if (!reader_.has_partial_message()) {
                     receive_deadline_ = no_deadline;
                 } else if (receive_deadline_ == no_deadline) {
@@ -88,17 +109,34 @@
                 return;
             }
             receive_deadline_ = no_deadline;
-            keep_alive_ = request->keep_alive;
-            owner_.last_call_ = owner_.last_call_.next();
-            call_ = owner_.last_call_;
-            owner_.open_calls_.emplace(*call_, number_);
-            owner_.handler_.on_request(*call_, *request);
+            const bool may_be_delayed =
+                std::exchange(is_first_request_, false) && received_at_ >= first_request_deadline_;
+            if (may_be_delayed) {
+                hold_deadline_ = steady_now() + owner_.options_.delayed_request_hold;
+                held_request_ = *next;
+                return;
+            }
+            pass_on(*next);
         } catch (const message_error&) {
             keep_alive_ = false;
             answer({.status = http_status_code::bad_request});
         }
     }
 
+    void pass_on(const http_request_message& message)
+    {
+        if (is_ended_by_peer(*socket_)) {
+            write_log(log_level::info, "request dropped, its connection has ended",
+                      {{"target", message.target}});
+            return;
+        }
+        keep_alive_ = message.keep_alive;
+        owner_.last_call_ = owner_.last_call_.next();
+        call_ = owner_.last_call_;
+        owner_.open_calls_.emplace(*call_, number_);
+        owner_.handler_.on_request(*call_, message, received_at_);
+    }
+
     request_server& owner_;
     std::uint64_t number_;
     QTcpSocket* socket_;
@@ -106,6 +144,11 @@
     http_reader<http_request_message> reader_;
     std::optional<call_id> call_;
     time_point receive_deadline_ = no_deadline;
+    time_point received_at_{}; ///< when the last data arrived at this host
+    time_point first_request_deadline_;
+    bool is_first_request_ = true;
+    std::optional<http_request_message> held_request_;
+    time_point hold_deadline_ = no_deadline;
     bool keep_alive_ = true;
 };
 
@@ -142,15 +185,26 @@
 
 void request_server::on_tick(time_point now)
 {
-    std::vector<std::uint64_t> overdue;
+    for (const std::uint64_t it :
+         connections_where([now](const connection& c) { return c.overdue(now); })) {
+        remove_connection(it);
+    }
+    for (const std::uint64_t it :
+         connections_where([now](const connection& c) { return c.is_hold_over(now); })) {
+        connections_.at(it)->end_hold();
+    }
+}
+
+std::vector<std::uint64_t>
+request_server::connections_where(const std::function<bool(const connection&)>& condition) const
+{
+    std::vector<std::uint64_t> found;
     for (const auto& [number, it] : connections_) {
-        if (it->overdue(now)) {
-            overdue.push_back(number);
+        if (condition(*it)) {
+            found.push_back(number);
         }
     }
-    for (const std::uint64_t it : overdue) {
-        remove_connection(it);
-    }
+    return found;
 }
 
 void request_server::accept()
