Stop a job at its caller's deadline, also if the end of the connection is lost

Callers saw a task run twice at the same time: a caller that gives up at its deadline submits the job again elsewhere 1.3 s later, but the end of its first connection may be lost on its way (a path that is cut, an answerless reset), and the first host went on to the end of the job.

Cause: only the end of the connection told a host that the caller had gone; the deadline in the request was used for the refusal of waiting jobs only.

Change: an open call is cancelled 50 ms after its caller's deadline and its runs are stopped. The dispatcher has refused a job that did not start by then.

Randomised runs: callers wait 1.5 or 10 s, then leave and may submit the job elsewhere; 3 of 10 such leaves are not noticed by the host; requests that arrive during a suspension (now up to 5 s) are read after it. All attempts of a job fit into the longer time at the end of a run.

--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -131,9 +131,10 @@
 /// A caller's job that is not answered yet, on the host that accepted it.
 struct accepted_call_fields {
     job_order order;
-    delegation_id delegation;   ///< of the current attempt
-    host_name dispatcher;       ///< host that the job is delegated to; empty: none yet
-    std::uint32_t attempts = 0; ///< number of delegations so far
+    delegation_id delegation;           ///< of the current attempt
+    host_name dispatcher;               ///< host that the job is delegated to; empty: none yet
+    std::uint32_t attempts = 0;         ///< number of delegations so far
+    time_point answer_by = no_deadline; ///< when the caller stops waiting
 
     auto operator<=>(const accepted_call_fields&) const = default;
 };
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -23,6 +23,9 @@
 /// Multiple of the objective after which an answer is no longer useful.
 constexpr int useful_objective_multiple = 3;
 
+/// Time after a caller's deadline at which its job is cancelled. Until then the dispatcher may
+/// still tell that nothing was started.
+constexpr duration caller_deadline_grace = std::chrono::milliseconds(50);
 /// Age of a request, when it is read, from which it is logged.
 constexpr duration late_request_age = std::chrono::milliseconds(100);
 
@@ -98,6 +101,13 @@
 {
     while (const auto due = board.calls.expired(now.steady)) {
         const accepted_call call = *board.calls.find(*due);
+        if (!call->dispatcher.empty()) {
+            // The caller may submit the job elsewhere from now on, even if the end of its
+            // connection has not arrived here.
+            cancel_delegation(board, call);
+            answer_call(board, *due, job_outcome::interrupted, "caller_deadline", now.steady);
+            continue;
+        }
         const bool undecided = now.steady < admission_->decision_deadline(*call->order);
         if (undecided) {
             place_call(board, *due, call, now.steady);
@@ -148,7 +158,8 @@
         return;
     }
     place_call(board, submitted.call,
-               accepted_call_fields{.order = make_order(submitted, *queue, configuration.version)},
+               accepted_call_fields{.order = make_order(submitted, *queue, configuration.version),
+                                    .answer_by = submitted.answer_by},
                now);
 }
 
@@ -184,7 +195,7 @@
         it.dispatcher = to;
         ++it.attempts;
     });
-    calls_.put(call, placed);
+    calls_.put(call, placed, placed->answer_by + caller_deadline_grace);
     if (to == board.self.host) {
         board.raised.post(
             delegation_received{{.link = {}, .delegation = delegation}, accepted->order});
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(a_job_that_would_miss_its_objective_is_refused_early);
     CPPUNIT_TEST(a_waiting_job_is_refused_when_its_caller_stops_waiting);
     CPPUNIT_TEST(a_request_that_is_read_after_its_callers_deadline_is_not_run);
+    CPPUNIT_TEST(the_runs_of_a_job_are_stopped_at_its_callers_deadline);
     CPPUNIT_TEST(unsupported_kinds_of_jobs_are_refused);
     CPPUNIT_TEST(a_delegated_job_of_a_removed_queue_is_answered_as_unknown_queue);
     CPPUNIT_TEST(a_resumed_process_interrupts_its_jobs);
@@ -376,6 +377,19 @@
         CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
     }
 
+    // Guards against two concurrent runs of a task: the end of a caller's connection was lost on
+    // its way, and the job went on after the caller had submitted it elsewhere.
+    void the_runs_of_a_job_are_stopped_at_its_callers_deadline()
+    {
+        const auto starts = submit_and_take_starts(1, 1, milliseconds(1500));
+        fixture_->accept_start(starts[0]);
+        fixture_->advance(milliseconds(1490));
+        CPPUNIT_ASSERT(fixture_->take_actions<stop_run>().empty());
+        fixture_->advance(milliseconds(100));
+        expect_single_answer(job_outcome::interrupted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_run>().size());
+    }
+
     void unsupported_kinds_of_jobs_are_refused()
     {
         job_spec_fields it = *job_fixture::make_job("00000000000000a1");
@@ -439,11 +453,12 @@
                                         fixture_->now(), true});
     }
 
-    std::vector<start_run> submit_and_take_starts(std::uint64_t call, std::uint32_t tasks)
+    std::vector<start_run> submit_and_take_starts(std::uint64_t call, std::uint32_t tasks,
+                                                  duration answer_within = std::chrono::seconds(10))
     {
         const std::string id =
             "00000000000000a" + std::to_string(call % 10) + (call < 10 ? "" : "f");
-        fixture_->submit_job(call, job_fixture::make_job(id, tasks));
+        fixture_->submit_job(call, job_fixture::make_job(id, tasks), answer_within);
         return fixture_->take_actions<start_run>();
     }
 
--- a/packages/core/tests/random/jobs/dispatcher_model.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.cpp
@@ -49,6 +49,7 @@
     engine_.reset();
     suspended_ = false;
     deferred_events_.clear();
+    buffered_requests_.clear();
     last_store_items_.clear();
     follows_workers_ = true;
     lease_ = 0;
@@ -80,6 +81,9 @@
         }
         suspended_ = false;
         deliver(jobs::process_resumed{length});
+        for (const jobs::job_submitted& it : std::exchange(buffered_requests_, {})) {
+            deliver_if_current(generation, it);
+        }
         for (const jobs::job_event& it : std::exchange(deferred_events_, {})) {
             deliver_if_current(generation, it);
         }
@@ -92,17 +96,26 @@
     deliver(jobs::stop_requested{context_.time.now() + shutdown_timeout});
 }
 
-void dispatcher_model::submit(call_id call, const jobs::job_spec& job)
+void dispatcher_model::submit(call_id call, const jobs::job_spec& job, time_point answer_by)
 {
     calls_.push_back(call);
     const time_point now = context_.time.now();
-    deliver(jobs::job_submitted{call, "desk.example", "/" + job->id.text(), job, now,
-                                now + std::chrono::seconds(10)});
+    const jobs::job_submitted submitted{call, "desk.example", "/" + job->id.text(), job,
+                                        now,  answer_by};
+    if (suspended_) {
+        buffered_requests_.push_back(submitted);
+    } else {
+        deliver(submitted);
+    }
 }
 
-void dispatcher_model::abandon_call(call_id call)
+void dispatcher_model::abandon_call(call_id call, bool noticed)
 {
     std::erase(calls_, call);
+    if (!noticed) {
+        return;
+    }
+    std::erase_if(buffered_requests_, [call](const auto& it) { return it.call == call; });
     deliver(jobs::call_abandoned{call});
 }
 
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -63,9 +63,10 @@
     void suspend(duration length);
     /// Requests a graceful stop; the process ends on its own.
     void stop();
-    void submit(call_id call, const jobs::job_spec& job);
-    /// The caller's connection has ended.
-    void abandon_call(call_id call);
+    void submit(call_id call, const jobs::job_spec& job, time_point answer_by);
+    /// The caller has closed its connection.
+    /// @param noticed whether the end of the connection arrives here
+    void abandon_call(call_id call, bool noticed);
     /// Accepts a connection from another host.
     void accept(const std::shared_ptr<link_model>& link);
     link_end make_link_end();
@@ -139,6 +140,8 @@
     jobs::host_entry entry_;
     bool suspended_ = false;
     std::vector<jobs::job_event> deferred_events_;
+    /// Submissions that arrived during a suspension and whose connections are open.
+    std::vector<jobs::job_submitted> buffered_requests_;
     std::vector<call_id> calls_;
     std::map<std::string, store_model::item> last_store_items_;
     bool follows_workers_ = true;
--- a/packages/core/tests/random/jobs/job_world.cpp
+++ b/packages/core/tests/random/jobs/job_world.cpp
@@ -12,7 +12,11 @@
 constexpr std::uint64_t max_attempts = 4;
 /// Time after which a caller submits a job again.
 constexpr duration resubmission_delay = milliseconds(1300);
-constexpr duration drain_time = std::chrono::seconds(30);
+/// Times for which callers wait for an answer.
+constexpr duration short_answer_timeout = milliseconds(1500);
+constexpr duration long_answer_timeout = std::chrono::seconds(10);
+/// All attempts of a job fit in.
+constexpr duration drain_time = std::chrono::seconds(60);
 /// Time that hosts and workers get before the first job is submitted.
 constexpr duration warm_up_time = std::chrono::seconds(4);
 
@@ -147,19 +151,26 @@
         return;
     }
     const call_id call(++last_call_);
-    calls_[call] = {job, number, host->name()};
+    const duration patience = rng_.percent(30) ? short_answer_timeout : long_answer_timeout;
+    const time_point answer_by = time_.now() + patience;
+    calls_[call] = {job, number, host->name(), answer_by};
     history_.submitted(job, number, time_.now());
-    host->submit(call, job);
-    if (!rng_.percent(2)) {
+    host->submit(call, job, answer_by);
+    time_.after(patience, [this, call, host] { leave(call, *host); });
+    if (rng_.percent(2)) {
+        time_.after(rng_.milliseconds(1, 400), [this, call, host] { leave(call, *host); });
+    }
+}
+
+void job_world::leave(call_id call, dispatcher_model& host)
+{
+    if (!calls_.contains(call) || !host.alive()) {
         return;
     }
-    // Reset the connection; the caller may submit the job again.
-    time_.after(rng_.milliseconds(1, 400), [this, call, host] {
-        if (calls_.contains(call) && host->alive()) {
-            host->abandon_call(call);
-            on_disconnected(call);
-        }
-    });
+    // Before the deadline, only the end of the connection tells the host.
+    const bool at_deadline = time_.now() >= calls_.at(call).answer_by;
+    host.abandon_call(call, !at_deadline || rng_.percent(70));
+    on_disconnected(call);
 }
 
 jobs::job_spec job_world::make_job()
@@ -225,7 +236,7 @@
         break;
     case 2:
         if (host != nullptr) {
-            host->suspend(rng_.milliseconds(150, 3000));
+            host->suspend(rng_.milliseconds(150, 5000));
         }
         break;
     case 3:
--- a/packages/core/tests/random/jobs/job_world.hpp
+++ b/packages/core/tests/random/jobs/job_world.hpp
@@ -43,6 +43,7 @@
         jobs::job_spec job;
         std::uint64_t number = 0; ///< 1 for the first submission
         std::string host;
+        time_point answer_by; ///< when the caller stops waiting
     };
 
     simulation_context context();
@@ -50,6 +51,8 @@
     void make_workers();
     void schedule_submissions();
     void submit(const jobs::job_spec& job, std::uint64_t number);
+    /// The caller closes its connection, unless it was answered; it may submit the job again.
+    void leave(call_id call, dispatcher_model& host);
     void maybe_resubmit(const attempt& previous);
     jobs::job_spec make_job();
     void schedule_faults();
--- a/packages/core/tests/support/job_fixture.hpp
+++ b/packages/core/tests/support/job_fixture.hpp
@@ -144,10 +144,12 @@
         return it;
     }
 
-    void submit_job(std::uint64_t call, const jobs::job_spec& it)
+    /// @param answer_within time for which the caller waits
+    void submit_job(std::uint64_t call, const jobs::job_spec& it,
+                    duration answer_within = std::chrono::seconds(10))
     {
         deliver(jobs::job_submitted{call_id(call), "desk.example", "/check/" + it->id.text(), it,
-                                    now_, now_ + std::chrono::seconds(10)});
+                                    now_, now_ + answer_within});
     }
 
     /// Delivers the answer of a worker that has accepted a start.
