Place runs only by the entry of the process that a worker's session is with

Cause: the session learns of the new process from the worker's report, its labels, capacity and service from its entry in the store, which is read up to 600 ms later. Placement, admission and the load report used the entry without comparing the two.

Change: an entry counts only if it describes the process that the session is with. Until the new one is read, the worker gets no runs and adds nothing to the capacity.

Tests: a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process fails without the comparison.

--- a/packages/core/include/papayafall/core/jobs/controllers/session_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/session_controller.hpp
@@ -50,4 +50,10 @@
 worker_address worker_address_of(const job_board& board, const worker_id& id,
                                  const worker_session& session);
 
+/// Entry of a worker, if it describes the process that the session is with. A restarted worker may
+/// have other labels and another capacity, so that the entry of its former process says nothing.
+/// @return nullptr if the worker is not listed, or only as its former process
+const worker* current_entry(const job_board& board, const worker_id& id,
+                            const worker_session& session);
+
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -50,7 +51,7 @@
     std::int64_t total_cpu_millis = 0;
     std::int64_t free_cpu_millis = 0;
     for (const auto& it : board.sessions) {
-        const worker* entry = board.workers.find(it.key);
+        const worker* entry = current_entry(board, it.key, it.value);
         const held_cell* held = board.held_cells.find(it.value.cell);
         if (entry == nullptr || held == nullptr || held->phase != cell_phase::held ||
             (*entry)->service != order.service || (*entry)->draining) {
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -67,10 +68,12 @@
                                 const task_ref& task) const
 {
     const worker_session* session = board.sessions.find(id);
-    const worker* entry = board.workers.find(id);
+    if (session == nullptr || session->phase != session_phase::ready) {
+        return false;
+    }
+    const worker* entry = current_entry(board, id, *session);
     const job_order_fields& order = *(*board.jobs.find(task.job))->order;
-    return session != nullptr && session->phase == session_phase::ready && entry != nullptr &&
-           !(*entry)->draining && (*entry)->service == order.service &&
+    return entry != nullptr && !(*entry)->draining && (*entry)->service == order.service &&
            order.job->steps[task.step].need.fits((*entry)->capacity) && !board.trials.contains(id);
 }
 
@@ -103,7 +106,7 @@
     std::vector<placement_candidate> found;
     bool has_healthy_worker = false; // a worker that need not be avoided exists, even if it is busy
     for (const auto& it : board.sessions) {
-        const worker* entry = board.workers.find(it.key);
+        const worker* entry = current_entry(board, it.key, it.value);
         const held_cell* held = board.held_cells.find(it.value.cell);
         if (it.value.phase != session_phase::ready || entry == nullptr || held == nullptr ||
             (*entry)->draining || (*entry)->service != order.service) {
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/session_controller.hpp"
 #include "papayafall/core/policies/rendezvous_hash.hpp"
 
 #include <algorithm>
@@ -88,7 +89,7 @@
         holds_cells = holds_cells || it.value.phase == cell_phase::held;
     }
     for (const auto& it : board.sessions) {
-        const worker* entry = board.workers.find(it.key);
+        const worker* entry = current_entry(board, it.key, it.value);
         if (entry == nullptr || it.value.phase != session_phase::ready || (*entry)->draining) {
             continue;
         }
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -72,6 +72,16 @@
             .token = session.token};
 }
 
+const worker* current_entry(const job_board& board, const worker_id& id,
+                            const worker_session& session)
+{
+    const worker* entry = board.workers.find(id);
+    if (entry == nullptr || session.started_at_ms == 0 || (*entry)->started_at_ms == 0) {
+        return entry;
+    }
+    return (*entry)->started_at_ms == session.started_at_ms ? entry : nullptr;
+}
+
 session_controller::session_controller(job_board& board) : sessions_(board.sessions.claim()) {}
 
 void session_controller::on_event(job_board& board, const job_event& incoming,
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_resubmitted_job_waits_until_its_former_runs_have_ended);
     CPPUNIT_TEST(a_run_end_reported_by_another_worker_is_ignored);
     CPPUNIT_TEST(a_draining_worker_gets_no_new_runs);
+    CPPUNIT_TEST(a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process);
     CPPUNIT_TEST(a_worker_whose_capacity_shrinks_gets_no_more_than_that);
     CPPUNIT_TEST(a_job_that_would_miss_its_objective_is_refused_early);
     CPPUNIT_TEST(a_waiting_job_is_refused_when_its_caller_stops_waiting);
@@ -296,6 +297,34 @@
         CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
     }
 
+    // Guards against tasks on a worker without the label that they require: a worker came back as
+    // another kind, and was used by its former entry until the new one was read.
+    void a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process()
+    {
+        fixture_->acquire_cell();
+        worker_fields entry = job_fixture::make_worker("w-1");
+        entry.labels = {label_name("small")};
+        fixture_->deliver(worker_listed{entry});
+        fixture_->deliver_report("w-1", {});
+        fixture_->deliver_report("w-1", {.started_at_ms = 2000});
+        job_spec_fields job = *job_fixture::make_job("00000000000000a1");
+        job.steps.front().required_label = label_name("small");
+        job.steps.front().estimated_run_time = std::chrono::seconds(5);
+        fixture_->submit_job(1, job);
+        fixture_->advance(milliseconds(100));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        entry.started_at_ms = 2000;
+        entry.labels = {label_name("large")};
+        fixture_->deliver(worker_listed{entry});
+        fixture_->advance(milliseconds(100));
+        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
+        job.id = job_id("00000000000000b2");
+        job.steps.front().required_label = label_name("large");
+        fixture_->submit_job(2, job);
+        fixture_->advance(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<start_run>().size());
+    }
+
     void a_draining_worker_gets_no_new_runs()
     {
         for (const char* it : {"w-1", "w-2"}) {
--- a/packages/core/tests/random/jobs/job_history.cpp
+++ b/packages/core/tests/random/jobs/job_history.cpp
@@ -124,6 +124,14 @@
     }
 }
 
+void job_history::check_label(const jobs::worker_fields& entry, const jobs::label_name& required,
+                              time_point now) const
+{
+    if (!required.empty() && !entry.has_label(required)) {
+        fail("a task was started without the label that it requires: " + entry.id.text(), now);
+    }
+}
+
 void job_history::check_capacity(const jobs::worker_id& worker, const jobs::resources& in_use,
                                  const jobs::resources& capacity, time_point now)
 {
--- a/packages/core/tests/random/jobs/job_history.hpp
+++ b/packages/core/tests/random/jobs/job_history.hpp
@@ -38,6 +38,9 @@
                time_point now);
     /// A run crashed its worker.
     void worker_crashed(const jobs::run_id& run, time_point now);
+    /// Fails if a worker starts a run without the label that it requires; empty: none.
+    void check_label(const jobs::worker_fields& entry, const jobs::label_name& required,
+                     time_point now) const;
     /// Fails if a worker that does not enforce its capacity itself uses more than that.
     void check_capacity(const jobs::worker_id& worker, const jobs::resources& in_use,
                         const jobs::resources& capacity, time_point now);
--- a/packages/core/tests/random/jobs/job_world.cpp
+++ b/packages/core/tests/random/jobs/job_world.cpp
@@ -180,14 +180,17 @@
     const jobs::resources need{.cpu_millis = static_cast<std::int64_t>(rng_.between(8, 40)) * 1000,
                                .memory_mb = 10};
     const std::uint64_t run_ms = rng_.percent(5) ? rng_.between(800, 4000) : rng_.between(20, 300);
+    const jobs::label_name kind =
+        rng_.percent(20) ? worker_kind(rng_.percent(50)) : jobs::label_name();
     jobs::job_spec_fields job{.id = jobs::job_id(id),
-                              .payload = payload_of(run_ms, need, rng_.percent(1)),
+                              .payload = payload_of(run_ms, need, rng_.percent(1), kind),
                               .options = {.best_effort = true}};
     const std::uint64_t steps = rng_.percent(25) ? 2 : 1;
     for (std::uint64_t n = 0; n < steps; ++n) {
         jobs::job_step step{.count = static_cast<std::uint32_t>(rng_.between(1, 6)),
                             .need = need,
-                            .estimated_run_time = milliseconds(run_ms)};
+                            .estimated_run_time = milliseconds(run_ms),
+                            .required_label = kind};
         if (n > 0) {
             step.predecessors.push_back(static_cast<std::uint32_t>(n - 1));
         }
@@ -343,7 +346,11 @@
     }
     time_.after(rng_.milliseconds(50, 3000), [this, &worker] {
         worker.restart();
-        store_.put_worker(worker.entry());
+        time_.after(rng_.milliseconds(0, 700), [this, &worker, generation = worker.generation()] {
+            if (worker.generation() == generation) {
+                store_.put_worker(worker.entry());
+            }
+        });
     });
 }
 
--- a/packages/core/tests/random/jobs/worker_model.cpp
+++ b/packages/core/tests/random/jobs/worker_model.cpp
@@ -24,10 +24,16 @@
 
 } // namespace
 
-std::string payload_of(std::uint64_t run_ms, const jobs::resources& need, bool crashes)
+std::string payload_of(std::uint64_t run_ms, const jobs::resources& need, bool crashes,
+                       const jobs::label_name& required_label)
 {
     return std::to_string(run_ms) + " " + std::to_string(need.cpu_millis) + " " +
-           std::to_string(need.memory_mb) + (crashes ? " 1" : " 0");
+           std::to_string(need.memory_mb) + (crashes ? " 1 " : " 0 ") + required_label.text();
+}
+
+jobs::label_name worker_kind(bool large)
+{
+    return jobs::label_name(large ? "large" : "small");
 }
 
 worker_model::worker_model(jobs::worker_fields entry, bool enforces_capacity, scheduler& time,
@@ -82,7 +88,9 @@
     std::uint64_t run_ms = 0;
     jobs::resources need;
     bool job_crashes = false;
-    payload >> run_ms >> need.cpu_millis >> need.memory_mb >> job_crashes;
+    std::string required_label;
+    payload >> run_ms >> need.cpu_millis >> need.memory_mb >> job_crashes >> required_label;
+    history_.check_label(entry_, jobs::label_name(required_label), time_.now());
     const bool crashes = job_crashes && request.run.step == 0 && request.run.task == 0;
     if (enforces_capacity_ && !(in_use() + need).fits(entry_.capacity)) {
         return jobs::start_result::insufficient_capacity;
@@ -143,9 +151,12 @@
     }
     history_.note("crash of " + entry_.id.text(), time_.now());
     runs_.clear();
-    pending_reports_.clear();
     up_ = false;
     ++generation_;
+    // The connections end with the process.
+    for (const pending_report& it : std::exchange(pending_reports_, {})) {
+        it.reply(jobs::call_failure::connection_lost);
+    }
 }
 
 void worker_model::restart()
@@ -154,6 +165,7 @@
     ++generation_;
     booted_at_ = time_.now();
     entry_.started_at_ms = in_milliseconds(time_.now().time_since_epoch()).count() + 1;
+    entry_.labels = {worker_kind(rng_.percent(50))};
     clock_rate_percent_ = static_cast<std::int64_t>(rng_.between(98, 100));
     lease_until_ = {};
     highest_token_ = {};
--- a/packages/core/tests/random/jobs/worker_model.hpp
+++ b/packages/core/tests/random/jobs/worker_model.hpp
@@ -50,7 +50,7 @@
     /// Answers the call when a run has ended, or after the time that the call allows.
     void report(const jobs::fetch_report& call, const report_reply& reply);
 
-    /// Ends the process and all its runs.
+    /// Ends the process, all its runs and its connections.
     void crash();
     /// Starts the process again under the same id, without any earlier state.
     void restart();
@@ -109,6 +109,11 @@
 ///
 /// @param run_ms  run time in milliseconds
 /// @param crashes whether the first task of the job crashes each worker that starts it
-std::string payload_of(std::uint64_t run_ms, const jobs::resources& need, bool crashes);
+/// @param required_label label that the worker must have; empty: any
+std::string payload_of(std::uint64_t run_ms, const jobs::resources& need, bool crashes,
+                       const jobs::label_name& required_label);
+
+/// Labels of the two kinds of workers.
+jobs::label_name worker_kind(bool large);
 
 } // namespace papayafall::random_runs
