Look at a worker again before the next start after it refused one

A refused start now makes the worker unreachable like a refused report call; it gets runs again once it has reported. The refusal has a result of its own, as `not_ready` also stands for a worker that answered. a_worker_that_refuses_a_start_gets_no_other_before_it_reports fails without the new handler.

--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -182,7 +182,8 @@
     outdated, ///< the worker has already closed a run of the task with this number or a higher one
     lease_expired,         ///< the lease had expired when the call arrived
     insufficient_capacity, ///< the run does not fit the free capacity
-    not_ready,             ///< the worker cannot be reached or is unhealthy; nothing was started
+    connection_refused,    ///< nothing was sent, as for a `fetch_report`
+    not_ready,             ///< the worker is unhealthy; nothing was started
     other_instance,        ///< another instance of the worker answered
     rejected,              ///< the worker could not interpret the call
     unanswered, ///< no answer in time; the run may have been started, or be started later
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -100,6 +100,10 @@
             sessions_.put(it->worker, std::move(session));
         }
     }
+    if (const auto* it = std::get_if<start_answered>(&incoming);
+        it != nullptr && it->result == start_result::connection_refused) {
+        on_start_refused(board, it->worker, now.steady);
+    }
     if (const auto* it = std::get_if<stop_answered>(&incoming)) {
         const worker_session* known = board.sessions.find(it->worker);
         if (known != nullptr && it->accepted && board.runs.contains(it->run)) {
@@ -343,6 +347,21 @@
     sessions_.put(failed.worker, std::move(session));
 }
 
+void session_controller::on_start_refused(job_board& board, const worker_id& id, time_point now)
+{
+    const worker_session* known = board.sessions.find(id);
+    if (known == nullptr || known->phase != session_phase::ready) {
+        return;
+    }
+    board.outbox.post(log_decision{"worker_unreachable",
+                                   id.text(),
+                                   {{"reason", to_string(call_failure::connection_refused)}}});
+    worker_session session = *known;
+    session.phase = session_phase::unreachable;
+    session.connection_refused = true;
+    poll_worker(board, id, std::move(session), now);
+}
+
 void session_controller::poll_all_workers(job_board& board, time_point now)
 {
     std::vector<std::pair<worker_id, worker_session>> all;
--- a/packages/core/src/jobs/messages/job_event.cpp
+++ b/packages/core/src/jobs/messages/job_event.cpp
@@ -17,6 +17,8 @@
         return "too_late";
     case start_result::insufficient_capacity:
         return "no_room";
+    case start_result::connection_refused:
+        return "refused";
     case start_result::not_ready:
         return "not_ready";
     case start_result::other_instance:
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_resubmitted_job_waits_until_its_former_runs_have_ended);
     CPPUNIT_TEST(a_run_end_reported_by_another_worker_is_ignored);
     CPPUNIT_TEST(a_draining_worker_gets_no_new_runs);
+    CPPUNIT_TEST(a_worker_that_refuses_a_start_gets_no_other_before_it_reports);
     CPPUNIT_TEST(a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process);
     CPPUNIT_TEST(a_worker_whose_capacity_shrinks_gets_no_more_than_that);
     CPPUNIT_TEST(a_job_that_would_miss_its_objective_is_refused_early);
@@ -297,6 +298,27 @@
         CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
     }
 
+    // Guards against orders to a restarted worker by what was known of its former process, and
+    // against the same start again and again while nothing listens at the address.
+    void a_worker_that_refuses_a_start_gets_no_other_before_it_reports()
+    {
+        const auto first = submit_and_take_starts(1, 1);
+        const worker_id refusing = first[0].to.id;
+        fixture_->deliver(start_answered{refusing, first[0].run, start_result::connection_refused});
+        job_spec_fields job = *job_fixture::make_job("00000000000000b2", 3);
+        job.steps.front().estimated_run_time = std::chrono::seconds(5);
+        fixture_->submit_job(2, job);
+        fixture_->advance(milliseconds(300));
+        for (const start_run& it : fixture_->take_actions<start_run>()) {
+            CPPUNIT_ASSERT(it.to.id != refusing);
+        }
+        fixture_->deliver_report(refusing.text(), {});
+        fixture_->advance(milliseconds(300));
+        const auto later = fixture_->take_actions<start_run>();
+        CPPUNIT_ASSERT(!later.empty());
+        CPPUNIT_ASSERT(later[0].to.id == refusing);
+    }
+
     // Guards against tasks on a worker without the label that they require: a worker came back as
     // another kind, and was used by its former entry until the new one was read.
     void a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process()
--- a/packages/core/tests/random/jobs/dispatcher_actions.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_actions.cpp
@@ -190,7 +190,7 @@
     call(
         it.to.id, it.timeout_at,
         jobs::start_answered{it.to.id, it.run, jobs::start_result::unanswered},
-        jobs::start_answered{it.to.id, it.run, jobs::start_result::not_ready},
+        jobs::start_answered{it.to.id, it.run, jobs::start_result::connection_refused},
         [it](worker_model& worker, const auto& answer) {
             answer(jobs::start_answered{it.to.id, it.run, worker.start(it)});
         },
