Ask for leases that cover one lost report call, not for the longest allowed

Since a refused connection no longer ends the runs of a worker, the tasks of a crashed worker waited for their lease, 1 s.

A lease is extended about every 160 ms. It now lasts for two report calls at their timeout, 600 ms, or the platform's limit if that is shorter: one call may be lost without an end of the runs.

--- a/packages/core/include/papayafall/core/jobs/state/worker_lease.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/worker_lease.hpp
@@ -1,9 +1,20 @@
 #pragma once
 
-#include "papayafall/core/jobs/state/worker_state.hpp"
+#include "papayafall/core/jobs/board/job_board.hpp"
+
+#include <chrono>
 
 namespace papayafall::jobs {
 
+/// Time for which a report call waits at the worker for a run to end.
+inline constexpr std::chrono::milliseconds report_long_poll_duration{150};
+/// Time that a worker has to answer, on top of the time for which the call may wait.
+inline constexpr duration worker_answer_timeout = std::chrono::milliseconds(150);
+
+/// Length of the leases that this host asks for. One of the report calls that extend the lease may
+/// be lost. A longer lease would only keep the tasks of a crashed worker waiting.
+duration lease_length(const job_parameters& parameters);
+
 /// Expiry of a lease that is requested now, on both clocks.
 struct lease_request {
     worker_time until; ///< expiry on the worker's clock
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -76,7 +76,7 @@
     const placement_candidate& chosen = candidates[placement_->choose(step, candidates)];
     const worker_id chosen_worker = chosen.entry->id;
     const worker_session& session = *board.sessions.find(chosen_worker);
-    const lease_request lease = request_lease(session, board.parameters.longest_lease, now);
+    const lease_request lease = request_lease(session, lease_length(board.parameters), now);
     id.number = ++state.last_run_number;
     tasks_.put(task, state);
     dequeue_task(board, task);
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -15,10 +15,6 @@
 
 using std::chrono::milliseconds;
 
-/// Time for which a report call waits at the worker for a run to end.
-constexpr milliseconds report_long_poll_duration{150};
-/// Time that a worker has to answer, on top of the time for which the call may wait.
-constexpr duration worker_answer_timeout = milliseconds(150);
 /// Time on top of `max_run_stop_time` after which a stopped run is no longer reported.
 constexpr duration stray_stop_margin = milliseconds(10);
 /// Age of the last clock reading from which an idle worker is asked for a new one.
@@ -437,7 +433,7 @@
                       .acknowledged_end = session.handled_end,
                       .long_poll = true};
     if (busy) {
-        const lease_request lease = request_lease(session, board.parameters.longest_lease, now);
+        const lease_request lease = request_lease(session, lease_length(board.parameters), now);
         call.lease_until = lease.until;
         call.max_wait = report_long_poll_duration;
         next.lease_expired_by = std::max(next.lease_expired_by, lease.lease_expired_by);
--- a/packages/core/src/jobs/state/worker_lease.cpp
+++ b/packages/core/src/jobs/state/worker_lease.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/state/worker_lease.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace papayafall::jobs {
@@ -13,6 +14,13 @@
 
 } // namespace
 
+duration lease_length(const job_parameters& parameters)
+{
+    constexpr int report_calls = 2; // the one that is lost, and the next
+    return std::min<duration>(parameters.longest_lease,
+                              report_calls * (report_long_poll_duration + worker_answer_timeout));
+}
+
 time_point latest_expiry(duration length, time_point granted_by)
 {
     return granted_by +
