Refuse requests that arrive after the decision to end

Intake went on after the decision to end; now it refuses, as not run. a_request_after_the_last_answers_is_refused fails without the change.

--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -128,8 +128,10 @@
                                        {{"age_ms", milliseconds_of(now - submitted.received_at)},
                                         {"left_ms", milliseconds_of(submitted.answer_by - now)}}});
     }
-    if (now >= submitted.answer_by) {
-        board.outbox.post(log_decision{"job_refused", id, {{"reason", "caller_deadline"}}});
+    const bool caller_gone = now >= submitted.answer_by;
+    if (caller_gone || board.lifecycle->stopped) {
+        board.outbox.post(log_decision{
+            "job_refused", id, {{"reason", caller_gone ? "caller_deadline" : "stopping"}}});
         board.outbox.post(
             answer_job{submitted.call, job_outcome::refused, now + refused_retry_delay, now});
         return;
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(a_delegated_job_of_a_removed_queue_is_answered_as_unknown_queue);
     CPPUNIT_TEST(a_resumed_process_interrupts_its_jobs);
     CPPUNIT_TEST(open_calls_are_answered_at_the_stop_deadline);
+    CPPUNIT_TEST(a_request_after_the_last_answers_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -477,6 +478,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_dispatcher>().size());
     }
 
+    // Guards against requests that were started and never answered: they came on kept connections
+    // in the last moments before the end of the process.
+    void a_request_after_the_last_answers_is_refused()
+    {
+        fixture_->deliver(stop_requested{fixture_->now() + milliseconds(500)});
+        fixture_->advance(milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_dispatcher>().size());
+        fixture_->deliver(peer_connected{host_name("entry-2"), incarnation_id(1)});
+        const auto starts = submit_and_take_starts(1, 1);
+        CPPUNIT_ASSERT(starts.empty());
+        CPPUNIT_ASSERT(fixture_->take_actions<delegate_job>().empty());
+        expect_single_answer(job_outcome::refused);
+    }
+
   private:
     void list_with_capacity(const std::string& id, std::int64_t cpu_millis)
     {
