--- a/packages/daemon/src/jobs/job_link.hpp
+++ b/packages/daemon/src/jobs/job_link.hpp
@@ -49,6 +49,20 @@
         write_frame(encode_job_frame(message, now), now);
     }
 
+    /// Sends a message whose size depends on what callers or operators have sent.
+    /// @return false if it exceeds the limits of a message; logged
+    bool try_write(const job_message& message)
+    {
+        try {
+            write(message);
+            return true;
+        } catch (const message_error& ec) {
+            write_log(log_level::error, "message not sent to a host",
+                      {{"host", peer_.text()}, {"error", ec.what()}});
+            return false;
+        }
+    }
+
     /// Sends an encoded message.
     void write_frame(const std::string& frame, time_point now)
     {
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -61,8 +61,8 @@
 void job_links::delegate(const delegate_job& action)
 {
     const auto it = outgoing_links_.find(action.to);
-    if (it != outgoing_links_.end() && it->second->handshake_done() && !it->second->closed()) {
-        it->second->write(link_delegation{action.delegation, action.order});
+    if (it != outgoing_links_.end() && it->second->handshake_done() && !it->second->closed() &&
+        it->second->try_write(link_delegation{action.delegation, action.order})) {
         return;
     }
     events_.post(delegation_answered{action.delegation, job_outcome::refused});
@@ -137,11 +137,7 @@
     if (it == nullptr) {
         return;
     }
-    try {
-        it->write(link_configuration{action.configuration});
-    } catch (const message_error& ec) {
-        write_log(log_level::error, "configuration not sent to a host", {{"error", ec.what()}});
-    }
+    it->try_write(link_configuration{action.configuration});
 }
 
 job_links::link* job_links::find(link_number number) const
--- a/packages/daemon/tests/jobs/unit-job_links.cpp
+++ b/packages/daemon/tests/jobs/unit-job_links.cpp
@@ -77,6 +77,7 @@
 class job_links_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(job_links_test);
     CPPUNIT_TEST(a_delegated_job_is_answered_over_its_link);
+    CPPUNIT_TEST(a_job_that_is_too_large_for_a_link_is_answered_as_refused);
     CPPUNIT_TEST(messages_buffered_on_a_silent_link_are_discarded);
     CPPUNIT_TEST(a_disconnected_host_is_not_reconnected);
     CPPUNIT_TEST(malformed_bytes_end_only_their_own_link);
@@ -102,6 +103,25 @@
         CPPUNIT_ASSERT(run_until([&] { return sender_events.count<delegation_answered>() == 1; }));
     }
 
+    // Guards against one request that ends each host that delegates it.
+    void a_job_that_is_too_large_for_a_link_is_answered_as_refused()
+    {
+        recording_sink sender_events;
+        recording_sink receiver_events;
+        job_links sender(options_of("e-1", std::chrono::seconds(60)), sender_events);
+        job_links receiver(options_of("e-2", std::chrono::seconds(60)), receiver_events);
+        sender.connect(entry_of("e-2", receiver.port()));
+        CPPUNIT_ASSERT(run_until([&] { return sender_events.count<peer_connected>() == 1; }));
+        const job_order order = sample_order().with([](job_order_fields& it) {
+            it.job = it.job.with([](job_spec_fields& job) { job.steps.resize(5000); });
+        });
+        sender.delegate({host_name("e-2"), delegation_id(4), order});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sender_events.count<delegation_answered>());
+        sender.delegate({host_name("e-2"), delegation_id(5), sample_order()});
+        CPPUNIT_ASSERT(
+            run_until([&] { return receiver_events.count<delegation_received>() == 1; }));
+    }
+
     void messages_buffered_on_a_silent_link_are_discarded()
     {
         const milliseconds timeout(200);
