Split the files that grew: sessions, run times, and three test programs

Taking workers over and releasing them goes to session_takeover.cpp, the run times of queues to dispatch_run_times.cpp, the tests of unreachable workers and of late requests to programs of their own. One option has a name that says what it is.

--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -346,12 +346,4 @@
     }
 }
 
-duration dispatch_controller::expected_run_time(const job_board& board, const queue_name& queue,
-                                                const job_step& step) const
-{
-    const queue_statistics* known = board.run_time_statistics.find(queue);
-    const double factor = known == nullptr ? 1 : known->run_time_factor;
-    return std::chrono::duration_cast<duration>(step.estimated_run_time * factor);
-}
-
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -24,11 +24,6 @@
 constexpr std::uint32_t nearly_done_percent = 98;
 /// Increment of a task's run number when the worker knows a higher one.
 constexpr std::uint64_t run_number_step = 16;
-/// Weight of the newest run in the moving average of a queue's run times.
-constexpr double run_time_smoothing_factor = 0.05;
-/// Bounds of one sample of that average: measured over declared run time.
-constexpr double min_run_time_ratio = 0.2;
-constexpr double max_run_time_ratio = 5;
 
 /// Runs on a worker that are not known to have ended.
 std::vector<run_id> runs_on_worker(const job_board& board, const worker_id& id)
@@ -393,20 +388,4 @@
     worker_loads_.put(run.worker, load);
 }
 
-void dispatch_controller::record_run_time(job_board& board, const run_state& run, time_point now)
-{
-    const job_state job = *board.jobs.find(run.task.job);
-    const job_step& step = job->order->job->steps[run.task.step];
-    const queue_name& queue = job->order->queue;
-    const auto taken = static_cast<double>((now - run.start_sent_at).count());
-    const auto declared =
-        static_cast<double>(std::max<std::int64_t>(step.estimated_run_time.count(), 1));
-    const double ratio = std::clamp(taken / declared, min_run_time_ratio, max_run_time_ratio);
-    const queue_statistics* known = board.run_time_statistics.find(queue);
-    queue_statistics next = known == nullptr ? queue_statistics() : *known;
-    board.raised.post(run_time_measured{run.worker, ratio / next.run_time_factor});
-    next.run_time_factor += run_time_smoothing_factor * (ratio - next.run_time_factor);
-    run_time_statistics_.put(queue, next);
-}
-
 } // namespace papayafall::jobs
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -17,13 +17,6 @@
     CPPUNIT_TEST(steps_wait_for_their_predecessors);
     CPPUNIT_TEST(a_job_fails_when_a_task_has_used_up_its_attempts);
     CPPUNIT_TEST(a_failed_task_is_retried_on_another_worker);
-    CPPUNIT_TEST(an_unanswered_start_is_stopped_before_the_task_restarts_elsewhere);
-    CPPUNIT_TEST(a_task_on_an_unreachable_worker_restarts_after_its_lease_has_lapsed);
-    CPPUNIT_TEST(a_task_on_a_worker_that_refuses_connections_waits_for_its_lease);
-    CPPUNIT_TEST(a_run_goes_on_when_a_worker_that_refused_connections_reports_it);
-    CPPUNIT_TEST(a_run_that_a_restarted_worker_does_not_report_restarts);
-    CPPUNIT_TEST(a_run_that_a_restarted_worker_reports_continues);
-    CPPUNIT_TEST(a_refused_connection_does_not_end_runs_started_later);
     CPPUNIT_TEST(a_stalled_run_is_stopped_and_restarted_elsewhere);
     CPPUNIT_TEST(a_run_whose_report_arrives_late_is_not_stalled);
     CPPUNIT_TEST(the_runs_of_an_abandoned_call_are_stopped);
@@ -31,8 +24,6 @@
     CPPUNIT_TEST(a_resubmitted_job_waits_until_its_former_runs_have_ended);
     CPPUNIT_TEST(a_run_end_reported_by_another_worker_is_ignored);
     CPPUNIT_TEST(a_draining_worker_gets_no_new_runs);
-    CPPUNIT_TEST(a_worker_that_refuses_a_start_gets_no_other_before_it_reports);
-    CPPUNIT_TEST(a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process);
     CPPUNIT_TEST(a_worker_whose_capacity_shrinks_gets_no_more_than_that);
     CPPUNIT_TEST(a_job_that_would_miss_its_objective_is_refused_early);
     CPPUNIT_TEST(a_waiting_job_is_refused_when_its_caller_stops_waiting);
@@ -57,7 +48,7 @@
 
     void a_job_is_answered_when_all_tasks_are_done()
     {
-        const auto starts = submit_and_take_starts(1, 3);
+        const auto starts = fixture_->submit_and_take_starts(1, 3);
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, starts.size());
         for (const start_run& it : starts) {
             CPPUNIT_ASSERT(fixture_->take_actions<answer_job>().empty());
@@ -87,7 +78,7 @@
 
     void a_job_fails_when_a_task_has_used_up_its_attempts()
     {
-        const auto first = submit_and_take_starts(1, 1);
+        const auto first = fixture_->submit_and_take_starts(1, 1);
         fixture_->accept_start(first[0]);
         fixture_->report_run_end(first[0], run_outcome::failed);
         const auto second = fixture_->take_actions<start_run>();
@@ -100,105 +91,16 @@
 
     void a_failed_task_is_retried_on_another_worker()
     {
-        const auto first = submit_and_take_starts(1, 1);
+        const auto first = fixture_->submit_and_take_starts(1, 1);
         fixture_->accept_start(first[0]);
         fixture_->report_run_end(first[0], run_outcome::failed);
         const auto second = fixture_->take_actions<start_run>();
         CPPUNIT_ASSERT(second[0].to.id != first[0].to.id);
     }
 
-    void an_unanswered_start_is_stopped_before_the_task_restarts_elsewhere()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->deliver(start_answered{first[0].to.id, first[0].run, start_result::unanswered});
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-        const auto stops = fixture_->take_actions<stop_run>();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stops.size());
-        CPPUNIT_ASSERT(stops[0].run == first[0].run);
-        fixture_->deliver(stop_answered{first[0].to.id, first[0].run, true});
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-        // A report requested after the stop has taken effect shows that the run has ended.
-        fixture_->advance(milliseconds(60));
-        fixture_->deliver_report(first[0].to.id.text(), {});
-        const auto second = fixture_->take_actions<start_run>();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
-        CPPUNIT_ASSERT(second[0].to.id != first[0].to.id);
-    }
-
-    void a_task_on_an_unreachable_worker_restarts_after_its_lease_has_lapsed()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->accept_start(first[0]);
-        fixture_->deliver(report_failed{first[0].to.id, first[0].to.token, call_failure::timed_out,
-                                        fixture_->now(), true});
-        expect_restart_after_lease(first[0]);
-    }
-
-    // Guards against two concurrent runs of a task: a worker that was cut off refused connections
-    // and went on, and its tasks were started elsewhere.
-    void a_task_on_a_worker_that_refuses_connections_waits_for_its_lease()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->accept_start(first[0]);
-        fixture_->advance(milliseconds(10));
-        refuse_connection(first[0]);
-        fixture_->advance(milliseconds(300));
-        refuse_connection(first[0]);
-        CPPUNIT_ASSERT(fixture_->board().runs.contains(first[0].run));
-        expect_restart_after_lease(first[0]);
-    }
-
-    void a_run_goes_on_when_a_worker_that_refused_connections_reports_it()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->accept_start(first[0]);
-        fixture_->advance(milliseconds(10));
-        refuse_connection(first[0]);
-        fixture_->advance(milliseconds(400));
-        worker_report report;
-        report.running.push_back({.run = first[0].run, .progress_percent = 50});
-        fixture_->deliver_report(first[0].to.id.text(), report);
-        fixture_->advance(milliseconds(500));
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-        fixture_->report_run_end(first[0], run_outcome::done);
-        expect_single_answer(job_outcome::succeeded);
-    }
-
-    void a_run_that_a_restarted_worker_does_not_report_restarts()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->accept_start(first[0]);
-        fixture_->advance(milliseconds(10));
-        fixture_->deliver_report(first[0].to.id.text(), {.started_at_ms = 2000}, true);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<start_run>().size());
-    }
-
-    void a_run_that_a_restarted_worker_reports_continues()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->accept_start(first[0]);
-        fixture_->advance(milliseconds(10));
-        worker_report report{.started_at_ms = 2000};
-        report.running.push_back({.run = first[0].run});
-        fixture_->deliver_report(first[0].to.id.text(), report, true);
-        CPPUNIT_ASSERT(fixture_->board().runs.contains(first[0].run));
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-    }
-
-    void a_refused_connection_does_not_end_runs_started_later()
-    {
-        const time_point sent_at = fixture_->now();
-        fixture_->advance(milliseconds(10));
-        const auto first = submit_and_take_starts(1, 1);
-        fixture_->deliver(report_failed{first[0].to.id, first[0].to.token,
-                                        call_failure::connection_refused, sent_at, true});
-        CPPUNIT_ASSERT(fixture_->board().runs.contains(first[0].run));
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-    }
-
     void a_stalled_run_is_stopped_and_restarted_elsewhere()
     {
-        const auto first = submit_and_take_starts(1, 1);
+        const auto first = fixture_->submit_and_take_starts(1, 1);
         fixture_->accept_start(first[0]);
         fixture_->advance(milliseconds(250));
         fixture_->take_actions<stop_run>();
@@ -215,7 +117,7 @@
 
     void a_run_whose_report_arrives_late_is_not_stalled()
     {
-        const auto first = submit_and_take_starts(1, 1);
+        const auto first = fixture_->submit_and_take_starts(1, 1);
         fixture_->accept_start(first[0]);
         fixture_->advance(milliseconds(150));
         worker_report report{.clock = fixture_->worker_clock()};
@@ -233,7 +135,7 @@
 
     void the_runs_of_an_abandoned_call_are_stopped()
     {
-        const auto starts = submit_and_take_starts(1, 2);
+        const auto starts = fixture_->submit_and_take_starts(1, 2);
         fixture_->accept_start(starts[0]);
         fixture_->accept_start(starts[1]);
         fixture_->deliver(call_abandoned{call_id(1)});
@@ -286,55 +188,6 @@
         CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
     }
 
-    // Guards against orders to a restarted worker by what was known of its former process, and
-    // against the same start again and again while nothing listens at the address.
-    void a_worker_that_refuses_a_start_gets_no_other_before_it_reports()
-    {
-        const auto first = submit_and_take_starts(1, 1);
-        const worker_id refusing = first[0].to.id;
-        fixture_->deliver(start_answered{refusing, first[0].run, start_result::connection_refused});
-        job_spec_fields job = *job_fixture::make_job("00000000000000b2", 3);
-        job.steps.front().estimated_run_time = std::chrono::seconds(5);
-        fixture_->submit_job(2, job);
-        fixture_->advance(milliseconds(300));
-        for (const start_run& it : fixture_->take_actions<start_run>()) {
-            CPPUNIT_ASSERT(it.to.id != refusing);
-        }
-        fixture_->deliver_report(refusing.text(), {});
-        fixture_->advance(milliseconds(300));
-        const auto later = fixture_->take_actions<start_run>();
-        CPPUNIT_ASSERT(!later.empty());
-        CPPUNIT_ASSERT(later[0].to.id == refusing);
-    }
-
-    // Guards against tasks on a worker without the label that they require: a worker came back as
-    // another kind, and was used by its former entry until the new one was read.
-    void a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process()
-    {
-        fixture_->acquire_cell();
-        worker_fields entry = job_fixture::make_worker("w-1");
-        entry.labels = {label_name("small")};
-        fixture_->deliver(worker_listed{entry});
-        fixture_->deliver_report("w-1", {});
-        fixture_->deliver_report("w-1", {.started_at_ms = 2000});
-        job_spec_fields job = *job_fixture::make_job("00000000000000a1");
-        job.steps.front().required_label = label_name("small");
-        job.steps.front().estimated_run_time = std::chrono::seconds(5);
-        fixture_->submit_job(1, job);
-        fixture_->advance(milliseconds(100));
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-        entry.started_at_ms = 2000;
-        entry.labels = {label_name("large")};
-        fixture_->deliver(worker_listed{entry});
-        fixture_->advance(milliseconds(100));
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-        job.id = job_id("00000000000000b2");
-        job.steps.front().required_label = label_name("large");
-        fixture_->submit_job(2, job);
-        fixture_->advance(milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<start_run>().size());
-    }
-
     void a_draining_worker_gets_no_new_runs()
     {
         for (const char* it : {"w-1", "w-2"}) {
@@ -342,7 +195,7 @@
             draining_worker.draining = true;
             fixture_->deliver(worker_listed{draining_worker});
         }
-        CPPUNIT_ASSERT(submit_and_take_starts(1, 1).empty());
+        CPPUNIT_ASSERT(fixture_->submit_and_take_starts(1, 1).empty());
     }
 
     // Guards against runs beyond the capacity of a worker: it may shrink and grow while the worker
@@ -350,7 +203,7 @@
     void a_worker_whose_capacity_shrinks_gets_no_more_than_that()
     {
         list_with_capacity("w-2", 0);
-        const auto first = submit_and_take_starts(1, 2);
+        const auto first = fixture_->submit_and_take_starts(1, 2);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.size());
         fixture_->accept_start(first[0]);
         fixture_->accept_start(first[1]);
@@ -376,7 +229,7 @@
     void a_job_that_would_miss_its_objective_is_refused_early()
     {
         for (std::uint64_t n = 1; n <= 12; ++n) {
-            submit_and_take_starts(n, 4);
+            fixture_->submit_and_take_starts(n, 4);
         }
         fixture_->advance(milliseconds(80));
         const auto answers = fixture_->take_actions<answer_job>();
@@ -389,7 +242,7 @@
 
     void a_waiting_job_is_refused_when_its_caller_stops_waiting()
     {
-        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, submit_and_take_starts(1, 4).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fixture_->submit_and_take_starts(1, 4).size());
         const time_point now = fixture_->now();
         fixture_->deliver(job_submitted{call_id(2), "desk.example", "/check/00000000000000b1",
                                         job_fixture::make_job("00000000000000b1"), now,
@@ -420,7 +273,7 @@
     // its way, and the job went on after the caller had submitted it elsewhere.
     void the_runs_of_a_job_are_stopped_at_its_callers_deadline()
     {
-        const auto starts = submit_and_take_starts(1, 1, milliseconds(1500));
+        const auto starts = fixture_->submit_and_take_starts(1, 1, milliseconds(1500));
         fixture_->accept_start(starts[0]);
         fixture_->advance(milliseconds(1490));
         CPPUNIT_ASSERT(fixture_->take_actions<stop_run>().empty());
@@ -458,7 +311,7 @@
 
     void a_resumed_process_interrupts_its_jobs()
     {
-        const auto starts = submit_and_take_starts(1, 1);
+        const auto starts = fixture_->submit_and_take_starts(1, 1);
         fixture_->accept_start(starts[0]);
         fixture_->deliver(process_resumed{std::chrono::seconds(3)});
         expect_single_answer(job_outcome::interrupted);
@@ -469,7 +322,7 @@
 
     void open_calls_are_answered_at_the_stop_deadline()
     {
-        const auto starts = submit_and_take_starts(1, 1);
+        const auto starts = fixture_->submit_and_take_starts(1, 1);
         fixture_->accept_start(starts[0]);
         fixture_->deliver(stop_requested{fixture_->now() + milliseconds(500)});
         CPPUNIT_ASSERT(!*fixture_->board().published_readiness);
@@ -486,7 +339,7 @@
         fixture_->advance(milliseconds(600));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_dispatcher>().size());
         fixture_->deliver(peer_connected{host_name("entry-2"), incarnation_id(1)});
-        const auto starts = submit_and_take_starts(1, 1);
+        const auto starts = fixture_->submit_and_take_starts(1, 1);
         CPPUNIT_ASSERT(starts.empty());
         CPPUNIT_ASSERT(fixture_->take_actions<delegate_job>().empty());
         expect_single_answer(job_outcome::refused);
@@ -500,38 +353,6 @@
         fixture_->deliver(worker_listed{it});
     }
 
-    /// Expects that the task starts on another worker, but not before the lease of its run has
-    /// expired on the slowest clock that a worker may have.
-    void expect_restart_after_lease(const start_run& first)
-    {
-        constexpr double slowest_clock_rate = 0.98;
-        const worker_time now = fixture_->worker_clock();
-        CPPUNIT_ASSERT(first.lease_until > now);
-        const auto left = static_cast<double>(first.lease_until.milliseconds - now.milliseconds) /
-                          slowest_clock_rate;
-        fixture_->advance(milliseconds(static_cast<std::int64_t>(left)));
-        CPPUNIT_ASSERT(fixture_->take_actions<start_run>().empty());
-        fixture_->advance(milliseconds(200));
-        const auto second = fixture_->take_actions<start_run>();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.size());
-        CPPUNIT_ASSERT(second[0].to.id != first.to.id);
-    }
-
-    void refuse_connection(const start_run& it)
-    {
-        fixture_->deliver(report_failed{it.to.id, it.to.token, call_failure::connection_refused,
-                                        fixture_->now(), true});
-    }
-
-    std::vector<start_run> submit_and_take_starts(std::uint64_t call, std::uint32_t tasks,
-                                                  duration answer_within = std::chrono::seconds(10))
-    {
-        const std::string id =
-            "00000000000000a" + std::to_string(call % 10) + (call < 10 ? "" : "f");
-        fixture_->submit_job(call, job_fixture::make_job(id, tasks), answer_within);
-        return fixture_->take_actions<start_run>();
-    }
-
     job_order make_order(const std::string& id, std::uint32_t tasks)
     {
         const time_point now = fixture_->now();
--- a/packages/core/tests/support/job_fixture.hpp
+++ b/packages/core/tests/support/job_fixture.hpp
@@ -152,6 +152,17 @@
                                     now_, now_ + answer_within});
     }
 
+    /// Submits a job and removes and returns the starts that follow at once.
+    std::vector<jobs::start_run>
+    submit_and_take_starts(std::uint64_t call, std::uint32_t tasks,
+                           duration answer_within = std::chrono::seconds(10))
+    {
+        const std::string id =
+            "00000000000000a" + std::to_string(call % 10) + (call < 10 ? "" : "f");
+        submit_job(call, make_job(id, tasks), answer_within);
+        return take_actions<jobs::start_run>();
+    }
+
     /// Delivers the answer of a worker that has accepted a start.
     void accept_start(const jobs::start_run& it)
     {
--- a/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
@@ -42,7 +42,7 @@
     /// Time that a caller has to send the rest of a request after its first byte.
     duration receive_timeout = std::chrono::seconds(5);
     /// Age of a connection from which its first request may have been delayed on its way.
-    duration first_request_timeout = std::chrono::milliseconds(250);
+    duration delayed_request_age = std::chrono::milliseconds(250);
     /// Time for which such a request is held back, because the end of the connection may follow it.
     duration delayed_request_hold = std::chrono::milliseconds(20);
     /// Further connections are closed immediately.
--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -29,7 +29,7 @@
   public:
     connection(request_server& owner, std::uint64_t number, QTcpSocket* socket)
         : owner_(owner), number_(number), socket_(socket), reader_(owner.options_.limits),
-          first_request_deadline_(steady_now() + owner.options_.first_request_timeout)
+          first_request_deadline_(steady_now() + owner.options_.delayed_request_age)
     {
         set_socket_options(*socket_);
         QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
--- a/packages/daemon/tests/kept/unit-persistent_http.cpp
+++ b/packages/daemon/tests/kept/unit-persistent_http.cpp
@@ -1,3 +1,4 @@
+#include "kept/recording_handler.hpp"
 #include "support/event_loop.hpp"
 #include "support/test_application.hpp"
 
@@ -11,10 +12,6 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,67 +24,8 @@
 
 using std::chrono::milliseconds;
 
-/// Records the calls, which the test answers itself.
-class recording_handler : public request_handler {
-  public:
-    void on_request(call_id call, const http_request_message& request,
-                    time_point received_at) override
-    {
-        calls.push_back(call);
-        requests.push_back(request);
-        received.push_back(received_at);
-    }
-
-    void on_abandoned(call_id call) override { abandoned.push_back(call); }
-
-    std::vector<call_id> calls;
-    std::vector<http_request_message> requests;
-    std::vector<time_point> received;
-    std::vector<call_id> abandoned;
-};
-
 const endpoint any_port{"127.0.0.1", 0};
 
-/// Caller that needs no event loop. Closes its connection at the end.
-class blocking_caller {
-  public:
-    explicit blocking_caller(std::uint16_t port) : descriptor_(::socket(AF_INET, SOCK_STREAM, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const int ec =
-            ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-        CPPUNIT_ASSERT_EQUAL(0, ec);
-    }
-
-    blocking_caller(const blocking_caller&) = delete;
-    blocking_caller& operator=(const blocking_caller&) = delete;
-
-    ~blocking_caller() { ::close(descriptor_); }
-
-    void send(const std::string& text) const
-    {
-        CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(text.size()),
-                             ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL));
-    }
-
-  private:
-    int descriptor_;
-};
-
-void run_for(duration length)
-{
-    const time_point end = steady_now() + length;
-    run_until([end] { return steady_now() >= end; });
-}
-
-std::string request_text()
-{
-    return encode_request({.method = "POST", .target = "/check/1"}, "host");
-}
-
 class persistent_http_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(persistent_http_test);
     CPPUNIT_TEST(messages_are_parsed_from_fragments_of_any_size);
@@ -99,10 +37,6 @@
     CPPUNIT_TEST(a_call_on_a_closed_connection_fails_and_is_not_resent);
     CPPUNIT_TEST(calls_beyond_the_connection_limit_wait);
     CPPUNIT_TEST(a_waiting_call_times_out);
-    CPPUNIT_TEST(a_request_is_as_old_as_its_arrival_at_the_host);
-    CPPUNIT_TEST(a_request_of_a_caller_that_has_left_is_dropped);
-    CPPUNIT_TEST(a_late_first_request_waits_for_the_end_of_its_connection);
-    CPPUNIT_TEST(a_late_first_request_of_a_caller_that_stays_is_passed_on);
     CPPUNIT_TEST(a_disconnected_caller_is_reported_and_not_answered);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_order);
     CPPUNIT_TEST(an_incomplete_request_is_closed_at_its_deadline);
@@ -255,62 +189,6 @@
         CPPUNIT_ASSERT(errors[1] == exchange_error::timed_out);
     }
 
-    // Guards against the start of jobs that their callers have submitted elsewhere since: a process
-    // that did not run for seconds took the requests in its sockets for new ones.
-    void a_request_is_as_old_as_its_arrival_at_the_host()
-    {
-        const blocking_caller caller(server_->port());
-        caller.send(request_text());
-        std::this_thread::sleep_for(milliseconds(300)); // the server's event loop does not run
-        const time_point read_at = steady_now();
-        CPPUNIT_ASSERT(run_until([&] { return !handler_->calls.empty(); }));
-        CPPUNIT_ASSERT(handler_->received[0] <= read_at - milliseconds(200));
-    }
-
-    // Guards against the same, where the caller has closed the connection meanwhile.
-    void a_request_of_a_caller_that_has_left_is_dropped()
-    {
-        {
-            const blocking_caller caller(server_->port());
-            caller.send(request_text());
-        }
-        const blocking_caller other(server_->port());
-        other.send(request_text());
-        CPPUNIT_ASSERT(run_until([&] { return !handler_->calls.empty(); }));
-        run_for(milliseconds(50));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, handler_->calls.size());
-        CPPUNIT_ASSERT(handler_->abandoned.empty());
-    }
-
-    // Guards against the same, where the network delayed the request, and the end of the connection
-    // arrives one round trip after it.
-    void a_late_first_request_waits_for_the_end_of_its_connection()
-    {
-        auto caller = std::make_unique<blocking_caller>(server_->port());
-        run_for(milliseconds(350));
-        caller->send(request_text());
-        run_for(milliseconds(5)); // less than the time for which the request is held back
-        CPPUNIT_ASSERT(handler_->calls.empty());
-        caller.reset();
-        run_for(milliseconds(10));
-        server_->on_tick(steady_now() + milliseconds(100));
-        CPPUNIT_ASSERT(handler_->calls.empty());
-    }
-
-    void a_late_first_request_of_a_caller_that_stays_is_passed_on()
-    {
-        const blocking_caller caller(server_->port());
-        run_for(milliseconds(350));
-        caller.send(request_text());
-        CPPUNIT_ASSERT(run_until([&] {
-            server_->on_tick(steady_now());
-            return !handler_->calls.empty();
-        }));
-        caller.send(request_text());
-        server_->answer(handler_->calls[0], {.status = 200});
-        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 2; })); // without a tick
-    }
-
     void a_disconnected_caller_is_reported_and_not_answered()
     {
         auto connection = std::make_unique<persistent_connection>(
