--- a/packages/core/tests/jobs/unit-dispatcher_links.cpp
+++ b/packages/core/tests/jobs/unit-dispatcher_links.cpp
@@ -94,7 +94,7 @@
         fixture_->deliver(load_reported{
             host_name("holder"),
             {.accepting = true, .free_cpu_millis = 640'000, .total_cpu_millis = 640'000}});
-        fixture_->submit_job(1, job_fixture::make_job("00000000000000a1"));
+        fixture_->submit_job(1, job_fixture::make_job("00000000000000a1"), seconds(60));
         const auto delegated = fixture_->take_actions<delegate_job>();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delegated.size());
         list_holder("successor", "zone-a", 0, 9);
