Add review case 10: a request held up by a partition runs beside its job

Only the first request of a connection is held back until the end of the connection could arrive. A later one is started although its job runs in another zone by then (TWICE). The stand-ins hand out each port once.

--- a/review/stand_in_2/cases.cpp
+++ b/review/stand_in_2/cases.cpp
@@ -1,5 +1,7 @@
 #include "cases.hpp"
 
+#include "partition.hpp"
+
 #include <algorithm>
 #include <csignal>
 #include <future>
@@ -228,6 +230,79 @@
                                                                    : verdict::held;
 }
 
+verdict request_after_partition(deployment& system, bool disrupted)
+{
+    std::vector<worker*> workers;
+    for (int n = 1; n <= 2; ++n) {
+        const std::string number = std::to_string(n);
+        workers.push_back(&system.add_worker("i-a" + number, zone_a, {"a", "r1-" + number}));
+        workers.push_back(&system.add_worker("i-b" + number, zone_b, {"a", "r2-" + number}));
+    }
+    system.configure(7, true, 1500);
+    daemon_process& entry = system.add_daemon("edge-kranj-a-1", zone_a);
+    daemon_process& other = system.add_daemon("edge-skofja-b-1", zone_b);
+    if (!system.start()) {
+        return verdict::not_run;
+    }
+    constexpr milliseconds round_trip{6};
+    constexpr milliseconds deadline{1500};
+    constexpr milliseconds run_time{800};
+    partition network(entry.frontend(), round_trip);
+    auto connection = std::make_unique<client_connection>(network.port());
+    const std::string first = "0000000000000001";
+    const int served =
+        connection
+            ->exchange(submission(first, job_body(chain_of(1, milliseconds(50))), deadline),
+                       deadline)
+            .status;
+    system.log().add("client: POST " + first + " to " + entry.name() + " answered " +
+                     std::to_string(served));
+    if (served != 200) {
+        return verdict::not_run;
+    }
+    for (worker* const it : workers) {
+        it->set_run_time(run_time);
+    }
+    if (disrupted) {
+        system.log().add("network: the clients' bytes to and from " + entry.name() +
+                         " are held up");
+        network.set_cut(true);
+    }
+    const std::string id = "00000000000000ff";
+    const http_request request = submission(id, job_body(chain_of(1, run_time)), deadline);
+    system.log().add("client: POST " + id + " to " + entry.name() + " on the same connection");
+    const int status = connection->exchange(request, deadline).status;
+    system.log().add("client: POST " + id + " answered " + std::to_string(status) +
+                     (status == 0 ? ", closes the connection" : ""));
+    connection.reset();
+    if (status == 0) {
+        std::this_thread::sleep_for(milliseconds(resend_ms));
+        auto answer = std::async(std::launch::async, [&] {
+            return post_job(system, other, id, job_body(chain_of(1, run_time)), deadline);
+        });
+        std::this_thread::sleep_for(milliseconds(400));
+        system.log().add("network: the bytes arrive at " + entry.name());
+        network.set_cut(false);
+        answer.wait();
+    }
+    std::this_thread::sleep_for(milliseconds(1000));
+    bool broken = false;
+    const std::vector<started_run> all = system.starts();
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        for (std::size_t k = n + 1; k < all.size(); ++k) {
+            if (all[n].task == all[k].task && all[k].at_ms < all[n].ended_at_ms) {
+                system.log().add("broken: " + all[n].task + " runs on " + all[n].worker + " and " +
+                                 all[k].worker + " for " +
+                                 std::to_string(std::min(all[n].ended_at_ms, all[k].ended_at_ms) -
+                                                all[k].at_ms) +
+                                 " ms");
+                broken = true;
+            }
+        }
+    }
+    return broken ? verdict::broken : verdict::held;
+}
+
 verdict label_after_restart(deployment& system, bool disrupted)
 {
     worker& restarted = system.add_worker("i-a1", zone_a, {"a", "r1-1"});
--- a/review/stand_in_2/http.cpp
+++ b/review/stand_in_2/http.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cctype>
 #include <random>
+#include <set>
 #include <stdexcept>
 
 namespace review {
@@ -111,8 +112,12 @@
     constexpr int last = 32'000;
     static std::mt19937 generator{std::random_device{}()};
     std::uniform_int_distribution<int> any(first, last);
+    static std::set<int> handed_out;
     for (int tries = 0; tries < 1000; ++tries) {
         const auto port = static_cast<std::uint16_t>(any(generator));
+        if (!handed_out.insert(port).second) {
+            continue;
+        }
         const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in address = loopback(port);
         const int ec =
@@ -215,41 +220,53 @@
     ::close(descriptor);
 }
 
-http_reply call(std::uint16_t port, const http_request& request, milliseconds timeout)
+client_connection::client_connection(std::uint16_t port)
+    : descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in address = loopback(port);
+    open_ =
+        ::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    set_no_delay(descriptor_);
+}
+
+client_connection::~client_connection()
+{
+    ::close(descriptor_);
+}
+
+http_reply client_connection::exchange(const http_request& request, milliseconds timeout)
+{
+    const steady::time_point end = steady::now() + timeout;
     http_reply reply;
-    if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
-        set_no_delay(descriptor);
-        const std::string text = encode(request);
-        const steady::time_point end = steady::now() + timeout;
-        std::string buf;
-        message_head head;
-        bool open = send_all(descriptor, text);
-        while (open) {
-            if (parse_head(buf, head) && buf.size() >= head.size + head.body_size) {
-                reply.status = std::stoi(head.first_line.substr(head.first_line.find(' ') + 1));
-                reply.body = buf.substr(head.size, head.body_size);
-                break;
-            }
-            const auto left = std::chrono::duration_cast<milliseconds>(end - steady::now()).count();
-            pollfd waiting{.fd = descriptor, .events = POLLIN, .revents = 0};
-            if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left)) <= 0) {
-                break;
-            }
-            char chunk[16384];
-            const ssize_t n = ::recv(descriptor, chunk, sizeof(chunk), 0);
-            open = n > 0;
-            if (open) {
-                buf.append(chunk, static_cast<std::size_t>(n));
-            }
+    message_head head;
+    open_ = open_ && send_all(descriptor_, encode(request));
+    while (open_) {
+        if (parse_head(buffer_, head) && buffer_.size() >= head.size + head.body_size) {
+            reply.status = std::stoi(head.first_line.substr(head.first_line.find(' ') + 1));
+            reply.body = buffer_.substr(head.size, head.body_size);
+            buffer_.erase(0, head.size + head.body_size);
+            break;
+        }
+        const auto left = std::chrono::duration_cast<milliseconds>(end - steady::now()).count();
+        pollfd waiting{.fd = descriptor_, .events = POLLIN, .revents = 0};
+        if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left)) <= 0) {
+            break;
+        }
+        char chunk[16384];
+        const ssize_t n = ::recv(descriptor_, chunk, sizeof(chunk), 0);
+        open_ = n > 0;
+        if (open_) {
+            buffer_.append(chunk, static_cast<std::size_t>(n));
         }
     }
-    ::close(descriptor);
     return reply;
 }
 
+http_reply call(std::uint16_t port, const http_request& request, milliseconds timeout)
+{
+    return client_connection(port).exchange(request, timeout);
+}
+
 void send_and_break(std::uint16_t port, const http_request& request)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/review/stand_in_2/http.hpp
+++ b/review/stand_in_2/http.hpp
@@ -57,8 +57,25 @@
     std::thread acceptor_;
 };
 
-/// Sends one request over a new connection and waits for the answer. Status 0: no answer came
-/// within `timeout`, or the connection ended.
+/// A client's connection, which carries one request after another.
+class client_connection {
+  public:
+    explicit client_connection(std::uint16_t port);
+    client_connection(const client_connection&) = delete;
+    client_connection& operator=(const client_connection&) = delete;
+    ~client_connection();
+
+    /// Sends a request and waits for the answer. Status 0: no answer came within `timeout`, or the
+    /// connection ended.
+    http_reply exchange(const http_request& request, milliseconds timeout);
+
+  private:
+    int descriptor_;
+    bool open_ = false;
+    std::string buffer_;
+};
+
+/// Sends one request over a new connection and waits for the answer, as `exchange` does.
 http_reply call(std::uint16_t port, const http_request& request, milliseconds timeout);
 
 /// Sends all of a request but its last byte over a new connection, which then breaks.
--- a/review/stand_in_2/main.cpp
+++ b/review/stand_in_2/main.cpp
@@ -16,6 +16,7 @@
         {"cancel_at_other_daemon", cancel_at_other_daemon},
         {"cancel_after_route_change", cancel_after_route_change},
         {"copy_after_cancel", copy_after_cancel},
+        {"request_after_partition", request_after_partition},
         {"label_after_restart", label_after_restart},
     };
     if (argc != 4 || !cases.contains(argv[1])) {
--- a/review/stand_in_2/worker.cpp
+++ b/review/stand_in_2/worker.cpp
@@ -94,6 +94,9 @@
     {
         const std::lock_guard lock(mutex_);
         life_.reset();
+        for (started_run& it : starts_) {
+            it.ended_at_ms = it.ended_at_ms < 0 ? now_ms() : it.ended_at_ms;
+        }
     }
     changed_.notify_all();
     server_->stop();
@@ -159,7 +162,8 @@
                        .worker = id_,
                        .task = task,
                        .number = number,
-                       .labels = life_->labels});
+                       .labels = life_->labels,
+                       .ended_at_ms = -1});
     log_.add("worker " + id_ + " starts " + task + " run " + std::to_string(number));
     return reply(200, json::object());
 }
@@ -207,6 +211,11 @@
 {
     const std::uint64_t number = life_->runs.at(task).number;
     life_->runs.erase(task);
+    for (started_run& it : starts_) {
+        if (it.task == task && it.number == number && it.ended_at_ms < 0) {
+            it.ended_at_ms = now_ms();
+        }
+    }
     life_->closed[task] = std::max(life_->closed[task], number);
     ++life_->last_end;
     life_->ended[life_->last_end] = {life_->last_end, task, number, how, ""};
--- a/review/stand_in_2/worker.hpp
+++ b/review/stand_in_2/worker.hpp
@@ -23,6 +23,7 @@
     std::string task;
     std::uint64_t number = 0;
     std::vector<std::string> labels; ///< of the life that started it
+    std::int64_t ended_at_ms = -1;   ///< -1: it runs
 };
 
 /// Stand-in of a runner with its entry in the store. Runs of a task take `run_time`.
