Carry the reason of a refusal and the free places between dispatchers

A refused job was answered with a fixed delay, and a load report told sums of cores only. Both are needed by the parts that decide what gives way under load: a refusal now has a reason and an instant to come back, and a load report has room for free places by size class. Job links have protocol version 4.

--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
@@ -101,6 +102,7 @@
 struct answer_delegation {
     job_origin origin;
     job_outcome outcome = job_outcome::refused;
+    job_refusal refusal; ///< for outcome `refused`
 };
 
 /// Sends this dispatcher's load to the hosts that may delegate to it.
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
@@ -128,6 +129,7 @@
 struct delegation_answered {
     delegation_id delegation;
     job_outcome outcome = job_outcome::interrupted;
+    job_refusal refusal; ///< for outcome `refused`
 };
 
 /// A host, possibly this one, delegates a job to the dispatcher of this process.
@@ -324,6 +326,7 @@
 struct job_finished {
     job_origin origin;
     job_outcome outcome = job_outcome::interrupted;
+    job_refusal refusal; ///< for outcome `refused`
 };
 
 /// This host delegated a job to another dispatcher.
--- a/packages/core/include/papayafall/core/jobs/values/membership.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/membership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/values/job_identifiers.hpp"
+#include "papayafall/core/jobs/values/place_counts.hpp"
 #include "papayafall/core/values/host.hpp"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
     std::int64_t free_cpu_millis = 0;  ///< of its workers, in thousandths of a core
     std::int64_t total_cpu_millis = 0; ///< of its workers, in thousandths of a core
     duration predicted_wait{};         ///< expected time until a newly queued task starts
+    place_counts places;               ///< of its workers, by size class of the tasks
 
     auto operator<=>(const load_report&) const = default;
 };
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -145,9 +145,9 @@
     }
     if (const auto* it = std::get_if<job_finished>(&incoming)) {
         if (it->origin.link == link_number()) {
-            board.raised.post(delegation_answered{it->origin.delegation, it->outcome});
+            board.raised.post(delegation_answered{it->origin.delegation, it->outcome, it->refusal});
         } else {
-            board.outbox.post(answer_delegation{it->origin, it->outcome});
+            board.outbox.post(answer_delegation{it->origin, it->outcome, it->refusal});
         }
     }
     if (std::holds_alternative<process_resumed>(incoming)) {
--- a/packages/core/tests/random/jobs/dispatcher_actions.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_actions.cpp
@@ -81,7 +81,10 @@
     if (found == outgoing_links_.end() || found->second->opener_lost()) {
         context_.time.after({}, [this, generation = generation_, it] {
             deliver_if_current(
-                generation, jobs::delegation_answered{it.delegation, jobs::job_outcome::refused});
+                generation,
+                jobs::delegation_answered{it.delegation,
+                                          jobs::job_outcome::refused,
+                                          {.reason = jobs::refusal_reason::dispatcher_unlinked}});
         });
         return;
     }
@@ -102,7 +105,8 @@
 {
     const auto found = incoming_links_.find(it.origin.link);
     if (found != incoming_links_.end()) {
-        found->second->send_to_opener(jobs::delegation_answered{it.origin.delegation, it.outcome});
+        found->second->send_to_opener(
+            jobs::delegation_answered{it.origin.delegation, it.outcome, it.refusal});
     }
 }
 
--- a/packages/daemon/src/jobs/job_link.hpp
+++ b/packages/daemon/src/jobs/job_link.hpp
@@ -221,7 +221,7 @@
             owner().events_.post(load_reported{entry_.host, it->load});
         }
         if (const auto* it = std::get_if<link_outcome>(&message)) {
-            owner().events_.post(delegation_answered{it->delegation, it->outcome});
+            owner().events_.post(delegation_answered{it->delegation, it->outcome, it->refusal});
         }
     }
 
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -65,7 +65,8 @@
         it->second->try_write(link_delegation{action.delegation, action.order})) {
         return;
     }
-    events_.post(delegation_answered{action.delegation, job_outcome::refused});
+    events_.post(delegation_answered{
+        action.delegation, job_outcome::refused, {.reason = refusal_reason::dispatcher_unlinked}});
 }
 
 void job_links::withdraw(const withdraw_delegation& action)
@@ -80,7 +81,7 @@
 {
     const auto it = incoming_links_.find(action.origin.link);
     if (it != incoming_links_.end()) {
-        it->second->write(link_outcome{action.origin.delegation, action.outcome});
+        it->second->write(link_outcome{action.origin.delegation, action.outcome, action.refusal});
     }
 }
 
--- a/packages/wire/include/papayafall/wire/jobs/job_message.hpp
+++ b/packages/wire/include/papayafall/wire/jobs/job_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 
@@ -52,6 +53,7 @@
 struct link_outcome {
     delegation_id delegation;
     job_outcome outcome = job_outcome::refused;
+    job_refusal refusal; ///< for outcome `refused`
 
     auto operator<=>(const link_outcome&) const = default;
 };
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -50,11 +50,26 @@
             objective_deadline, expires_at);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, place_counts& it)
+{
+    for (std::uint32_t& n : it.free) {
+        archive(n);
+    }
+}
+
 template <typename Archive>
 void serialize(Archive& archive, load_report& it)
 {
-    auto& [accepting, free_cpu_millis, total_cpu_millis, predicted_wait] = it;
-    archive(accepting, free_cpu_millis, total_cpu_millis, predicted_wait);
+    auto& [accepting, free_cpu_millis, total_cpu_millis, predicted_wait, places] = it;
+    archive(accepting, free_cpu_millis, total_cpu_millis, predicted_wait, places);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, job_refusal& it)
+{
+    auto& [reason, retry_at] = it;
+    archive(bounded_enum<refusal_reason>{reason, last_refusal_reason}, retry_at);
 }
 
 template <typename Archive>
@@ -89,7 +104,8 @@
 template <typename Archive>
 void serialize(Archive& archive, link_outcome& it)
 {
-    archive(it.delegation, bounded_enum<job_outcome>{it.outcome, job_outcome::cancelled});
+    archive(it.delegation, bounded_enum<job_outcome>{it.outcome, job_outcome::cancelled},
+            it.refusal);
 }
 
 template <typename Archive>
@@ -159,7 +175,7 @@
 namespace {
 
 /// Version of the protocol on job links. Frames of any other version are rejected.
-constexpr std::uint8_t job_link_protocol_version = 3;
+constexpr std::uint8_t job_link_protocol_version = 4;
 
 /// Size in bytes of the size field at the start of a frame.
 constexpr std::size_t size_field_length = sizeof(std::uint32_t);
