Answer pipelined requests in a loop instead of a recursion

Callers saw: 200,000 requests on one connection that are answered at once end the process, and with it the jobs of all other callers.

Cause: the answer to a request handled the next one in the buffer, whose handler answered it, so that each request took one more part of the stack.

Change: the requests in the buffer are handled in a loop, 32 in one turn; the rest follows from the event loop, and further bytes wait in the socket meanwhile. A caller that leaves 1 MiB of answers unread, or sends on without limit while its request is open, is disconnected.

--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -21,6 +21,10 @@
 
 /// Number of connections that may wait to be accepted.
 constexpr int listen_backlog = 512;
+/// Requests of one connection that are handled before other connections get their turn.
+constexpr int max_requests_per_turn = 32;
+/// Size of the answers that a caller may leave unread.
+constexpr qint64 max_unsent_bytes = qint64{1} << 20U;
 
 } // namespace
 
@@ -32,6 +36,7 @@
           first_request_deadline_(steady_now() + owner.options_.delayed_request_age)
     {
         set_socket_options(*socket_);
+        socket_->setReadBufferSize(static_cast<qint64>(max_unparsed_bytes()));
         QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
         QObject::connect(
             socket_, &QTcpSocket::disconnected, &context_,
@@ -57,11 +62,14 @@
         call_.reset();
         socket_->write(buf.data(), static_cast<qint64>(buf.size()));
         socket_->flush();
-        if (!reply.keep_alive) {
+        if (socket_->bytesToWrite() > max_unsent_bytes) {
+            end("answers not read");
+        } else if (!reply.keep_alive) {
+            ended_ = true;
             socket_->disconnectFromHost();
-            return;
+        } else {
+            handle_requests();
         }
-        handle_next_request();
     }
 
     bool overdue(time_point now) const noexcept { return now >= receive_deadline_; }
@@ -77,27 +85,61 @@
     {
         const auto held = std::exchange(held_request_, std::nullopt);
         pass_on(*held);
+        handle_requests(); // the request may have been dropped
     }
 
   private:
+    std::size_t max_unparsed_bytes() const
+    {
+        return owner_.options_.limits.header_bytes + owner_.options_.limits.body_bytes;
+    }
+
     void receive()
     {
+        if (ended_ || turn_queued_) {
+            return; // the bytes wait in the socket, and then at the caller
+        }
         const QByteArray received = socket_->readAll();
         received_at_ = steady_now() - age_of_received_data(*socket_);
         reader_.feed({received.data(), static_cast<std::size_t>(received.size())});
-        if (!call_) {
-            handle_next_request();
-        } else if (reader_.unparsed_bytes() >
-                   owner_.options_.limits.header_bytes + owner_.options_.limits.body_bytes) {
-            socket_->disconnectFromHost(); // sends on without waiting for the answer
+        handle_requests();
+        if (call_ && reader_.unparsed_bytes() > max_unparsed_bytes()) {
+            end("requests sent without waiting for the answer");
         }
     }
 
-    void handle_next_request()
+    /// Handles the requests that have arrived, up to one that is not answered at once. A handler
+    /// that answers at once comes back here, and only the outermost call goes on.
+    void handle_requests()
     {
-        if (held_request_) {
+        if (handling_ || turn_queued_) {
             return;
         }
+        handling_ = true;
+        int handled = 0;
+        while (!call_ && !held_request_ && !ended_ && handled < max_requests_per_turn &&
+               handle_next_request()) {
+            ++handled;
+        }
+        handling_ = false;
+        if (handled == max_requests_per_turn) {
+            turn_queued_ = true;
+            QMetaObject::invokeMethod(
+                &context_,
+                [this] {
+                    turn_queued_ = false;
+                    handle_requests();
+                    if (socket_->bytesAvailable() > 0) {
+                        receive();
+                    }
+                },
+                Qt::QueuedConnection);
+        }
+    }
+
+    /// @return false if no complete request has arrived
+    bool handle_next_request()
+    {
         try {
             const auto next = reader_.next();
             if (!next) {
@@ -106,7 +148,7 @@
                 } else if (receive_deadline_ == no_deadline) {
                     receive_deadline_ = steady_now() + owner_.options_.receive_timeout;
                 }
-                return;
+                return false;
             }
             receive_deadline_ = no_deadline;
             const bool may_be_delayed =
@@ -114,13 +156,22 @@
             if (may_be_delayed) {
                 hold_deadline_ = steady_now() + owner_.options_.delayed_request_hold;
                 held_request_ = *next;
-                return;
+                return true;
             }
             pass_on(*next);
         } catch (const message_error&) {
             keep_alive_ = false;
             answer({.status = http_status_code::bad_request});
         }
+        return true;
+    }
+
+    /// Closes the connection at once, without the answers that the caller has not read.
+    void end(const char* reason)
+    {
+        write_log(log_level::warning, "connection closed", {{"reason", reason}});
+        ended_ = true;
+        socket_->abort();
     }
 
     void pass_on(const http_request_message& message)
@@ -150,6 +201,9 @@
     std::optional<http_request_message> held_request_;
     time_point hold_deadline_ = no_deadline;
     bool keep_alive_ = true;
+    bool handling_ = false;    ///< `handle_requests` is on the stack
+    bool turn_queued_ = false; ///< `handle_requests` is called again from the event loop
+    bool ended_ = false;       ///< no further request is handled
 };
 
 request_server::request_server(const request_server_options& options, request_handler& handler)
