Start a task only on the process of the worker whose entry was read

Capacity, zone and draining were judged by the same entry of the process that had ended.

Cause: a start names the worker's id, which its next process keeps. An idle worker is asked only every 5 s when its process was started, and its new entry comes after that of the former process.

Change: a start carries the start time of the process whose entry was used, and is sent only over a connection on which that process has named itself: a new connection asks for a report first. As the connections of a process end with it, a start cannot reach the next one. If the process is another one, nothing is sent, the task goes to another worker, and the worker is asked for a report.

--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -66,6 +66,7 @@
     // runs
     void on_start_answered(job_board& board, const start_answered& answered, time_point now);
     void on_stop_answered(job_board& board, const stop_answered& answered, time_point now);
+    void repeat_due_stops(job_board& board, time_point now);
     /// Updates the runs on a worker from its report. Runs that the report should list but does not
     /// are taken to have ended.
     void reconcile_runs(job_board& board, const report_received& received, time_point now);
--- a/packages/core/include/papayafall/core/jobs/controllers/session_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/session_controller.hpp
@@ -30,7 +30,7 @@
     void on_report_received(job_board& board, const report_received& received, time_point now);
     void on_report_failed(job_board& board, const report_failed& failed, time_point now);
     /// A worker that refused a start gets no other before it has reported.
-    void on_start_refused(job_board& board, const worker_id& id, time_point now);
+    void on_start_refused(job_board& board, const start_answered& answered, time_point now);
     void poll_all_workers(job_board& board, time_point now);
     /// Requests a report of the worker's runs without extending their lease.
     void poll_worker(job_board& board, const worker_id& id, worker_session session, time_point now);
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -26,10 +26,14 @@
     time_point received_at{};
 };
 
+/// Whether the length of a queue is known. `no_configuration`: the queues are not known yet.
+enum class queue_length_status : std::uint8_t { known, no_configuration, unknown_queue };
+
 /// Answers a `queue_length_requested`.
 struct answer_queue_length {
     call_id call;
-    std::optional<std::uint64_t> waiting; ///< jobs without a started task; empty: unknown queue
+    queue_length_status status = queue_length_status::known;
+    std::uint64_t waiting = 0; ///< jobs without a started task, if known
 };
 
 /// State of a job as told to a caller. `unknown`: this host has no open call for the job;
@@ -159,6 +163,8 @@
     worker_address to;
     run_id run;
     std::string payload;
+    /// Start of the worker's process that the run is meant for; no other process gets the call.
+    std::int64_t worker_started_at_ms = 0;
     worker_time lease_until; ///< also extends the lease of the worker's other runs
     time_point timeout_at;   ///< the call counts as unanswered from then on
 };
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -186,7 +186,7 @@
     insufficient_capacity, ///< the run does not fit the free capacity
     connection_refused,    ///< nothing was sent, as for a `fetch_report`
     not_ready,             ///< the worker is unhealthy; nothing was started
-    other_instance,        ///< another instance of the worker answered
+    other_instance,        ///< another process of the worker answered, or none; nothing was started
     rejected,              ///< the worker could not interpret the call
     unanswered, ///< no answer in time; the run may have been started, or be started later
 };
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -102,6 +102,7 @@
     /// does not count as a stall.
     worker_time progress_at;
     std::uint32_t progress_percent = 0;
+    time_point repeat_stop_at = no_deadline; ///< when a stop that was not accepted is sent again
 
     auto operator<=>(const run_state&) const = default;
 };
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -97,6 +97,7 @@
 
 void dispatch_controller::on_tick(job_board& board, const clock_reading& now)
 {
+    repeat_due_stops(board, now.steady);
     start_waiting_tasks(board, now.steady);
     review_due_jobs(board, now.steady);
     if (board.sessions.empty() && !board.jobs.empty()) {
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -18,6 +18,8 @@
 
 /// Time that a worker has to answer a start or a stop before the call counts as unanswered.
 constexpr duration run_call_timeout = milliseconds(200);
+/// Time between a stop that was not accepted and the next one.
+constexpr duration stop_retry_delay = milliseconds(25);
 /// Time without progress after which a run counts as stalled.
 constexpr milliseconds stall_timeout{220};
 /// Progress from which a run is expected to end soon and does not count as stalled.
@@ -95,6 +97,7 @@
     board.outbox.post(start_run{.to = worker_address_of(board, chosen_worker, session),
                                 .run = id,
                                 .payload = order.job->payload,
+                                .worker_started_at_ms = session.started_at_ms,
                                 .lease_until = lease.until,
                                 .timeout_at = now + run_call_timeout});
     board.raised.post(lease_extended{chosen_worker, lease.lease_expired_by});
@@ -150,10 +153,22 @@
         put_run(answered.run, run);
         return;
     }
-    const worker_session* session = board.sessions.find(run.worker);
-    if (session != nullptr) {
+    run.repeat_stop_at = now + stop_retry_delay;
+    put_run(answered.run, run);
+}
+
+void dispatch_controller::repeat_due_stops(job_board& board, time_point now)
+{
+    while (const auto due = board.runs.expired(now)) {
+        run_state run = *board.runs.find(*due);
+        run.repeat_stop_at = no_deadline;
+        put_run(*due, run);
+        const worker_session* session = board.sessions.find(run.worker);
+        if (session == nullptr || run.phase != run_phase::stopping) {
+            continue;
+        }
         board.outbox.post(stop_run{.to = worker_address_of(board, run.worker, *session),
-                                   .run = answered.run,
+                                   .run = *due,
                                    .timeout_at = now + run_call_timeout});
     }
 }
@@ -371,7 +386,7 @@
 
 void dispatch_controller::put_run(const run_id& id, const run_state& run)
 {
-    runs_.put(id, run);
+    runs_.put(id, run, run.repeat_stop_at);
     runs_by_worker_.put({run.worker, id}, run.phase);
 }
 
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -210,9 +210,13 @@
 void intake_controller::report_queue_length(job_board& board, const queue_length_requested& request)
 {
     const queue_configuration_fields& configuration = **board.configuration;
+    if (configuration.version == 0) {
+        board.outbox.post(answer_queue_length{request.call, queue_length_status::no_configuration});
+        return;
+    }
     const queue_definition* queue = configuration.match(request.hostname, request.path);
     if (queue == nullptr) {
-        board.outbox.post(answer_queue_length{request.call, std::nullopt});
+        board.outbox.post(answer_queue_length{request.call, queue_length_status::unknown_queue});
         return;
     }
     std::uint64_t waiting = 0;
@@ -221,7 +225,7 @@
             ++waiting;
         }
     }
-    board.outbox.post(answer_queue_length{request.call, waiting});
+    board.outbox.post(answer_queue_length{request.call, queue_length_status::known, waiting});
 }
 
 void intake_controller::report_or_cancel_job(job_board& board, const job_status_requested& request,
--- a/packages/core/src/jobs/controllers/session_controller.cpp
+++ b/packages/core/src/jobs/controllers/session_controller.cpp
@@ -97,8 +97,9 @@
         }
     }
     if (const auto* it = std::get_if<start_answered>(&incoming);
-        it != nullptr && it->result == start_result::connection_refused) {
-        on_start_refused(board, it->worker, now.steady);
+        it != nullptr && (it->result == start_result::connection_refused ||
+                          it->result == start_result::other_instance)) {
+        on_start_refused(board, *it, now.steady);
     }
     if (const auto* it = std::get_if<stop_answered>(&incoming)) {
         const worker_session* known = board.sessions.find(it->worker);
@@ -271,18 +272,19 @@
     sessions_.put(failed.worker, std::move(session));
 }
 
-void session_controller::on_start_refused(job_board& board, const worker_id& id, time_point now)
+void session_controller::on_start_refused(job_board& board, const start_answered& answered,
+                                          time_point now)
 {
+    const worker_id& id = answered.worker;
     const worker_session* known = board.sessions.find(id);
     if (known == nullptr || known->phase != session_phase::ready) {
         return;
     }
-    board.outbox.post(log_decision{"worker_unreachable",
-                                   id.text(),
-                                   {{"reason", to_string(call_failure::connection_refused)}}});
+    board.outbox.post(
+        log_decision{"worker_unreachable", id.text(), {{"reason", to_string(answered.result)}}});
     worker_session session = *known;
     session.phase = session_phase::unreachable;
-    session.connection_refused = true;
+    session.connection_refused = answered.result == start_result::connection_refused;
     poll_worker(board, id, std::move(session), now);
 }
 
--- a/packages/core/tests/jobs/unit-job_dispatch.cpp
+++ b/packages/core/tests/jobs/unit-job_dispatch.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(a_stalled_run_is_stopped_and_restarted_elsewhere);
     CPPUNIT_TEST(a_run_whose_report_arrives_late_is_not_stalled);
     CPPUNIT_TEST(the_runs_of_an_abandoned_call_are_stopped);
+    CPPUNIT_TEST(a_stop_that_is_not_accepted_is_sent_again_after_a_pause);
+    CPPUNIT_TEST(the_length_of_a_queue_is_unknown_without_a_configuration);
     CPPUNIT_TEST(the_runs_of_jobs_from_a_lost_link_are_stopped);
     CPPUNIT_TEST(a_resubmitted_job_waits_until_its_former_runs_have_ended);
     CPPUNIT_TEST(a_run_end_reported_by_another_worker_is_ignored);
@@ -147,6 +149,38 @@
         CPPUNIT_ASSERT(fixture_->board().calls.empty());
     }
 
+    // Guards against a flood of calls to a worker that refuses each stop at once.
+    void a_stop_that_is_not_accepted_is_sent_again_after_a_pause()
+    {
+        const auto starts = fixture_->submit_and_take_starts(1, 1);
+        fixture_->accept_start(starts[0]);
+        fixture_->deliver(call_abandoned{call_id(1)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_run>().size());
+        fixture_->deliver(stop_answered{starts[0].to.id, starts[0].run, false});
+        fixture_->advance(milliseconds(10));
+        CPPUNIT_ASSERT(fixture_->take_actions<stop_run>().empty());
+        fixture_->advance(milliseconds(40));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<stop_run>().size());
+        fixture_->advance(milliseconds(100)); // the second one is not answered yet
+        CPPUNIT_ASSERT(fixture_->take_actions<stop_run>().empty());
+        fixture_->deliver(stop_answered{starts[0].to.id, starts[0].run, true});
+        fixture_->advance(milliseconds(100));
+        CPPUNIT_ASSERT(fixture_->take_actions<stop_run>().empty());
+    }
+
+    void the_length_of_a_queue_is_unknown_without_a_configuration()
+    {
+        job_fixture unconfigured;
+        unconfigured.deliver(queue_length_requested{call_id(1), "desk.example", "/check/"});
+        fixture_->deliver(queue_length_requested{call_id(1), "desk.example", "/other/"});
+        fixture_->deliver(queue_length_requested{call_id(2), "desk.example", "/check/"});
+        const auto before = unconfigured.take_actions<answer_queue_length>();
+        const auto after = fixture_->take_actions<answer_queue_length>();
+        CPPUNIT_ASSERT(before.at(0).status == queue_length_status::no_configuration);
+        CPPUNIT_ASSERT(after.at(0).status == queue_length_status::unknown_queue);
+        CPPUNIT_ASSERT(after.at(1).status == queue_length_status::known);
+    }
+
     void the_runs_of_jobs_from_a_lost_link_are_stopped()
     {
         const job_origin origin{.link = link_number(3), .delegation = delegation_id(1)};
--- a/packages/core/tests/jobs/unit-unreachable_workers.cpp
+++ b/packages/core/tests/jobs/unit-unreachable_workers.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(a_run_that_a_restarted_worker_reports_continues);
     CPPUNIT_TEST(a_refused_connection_does_not_end_runs_started_later);
     CPPUNIT_TEST(a_worker_that_refuses_a_start_gets_no_other_before_it_reports);
+    CPPUNIT_TEST(a_worker_with_another_process_gets_no_runs_before_it_reports);
     CPPUNIT_TEST(a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +150,23 @@
 
     // Guards against tasks on a worker without the label that they require: a worker came back as
     // another kind, and was used by its former entry until the new one was read.
+    // Guards against runs on a worker that was restarted unnoticed, by the labels and the capacity
+    // of its former process.
+    void a_worker_with_another_process_gets_no_runs_before_it_reports()
+    {
+        const auto first = fixture_->submit_and_take_starts(1, 1);
+        CPPUNIT_ASSERT_EQUAL(job_fixture::make_worker("w-1").started_at_ms,
+                             first.at(0).worker_started_at_ms);
+        const worker_id& refusing = first[0].to.id;
+        fixture_->deliver(start_answered{refusing, first[0].run, start_result::other_instance});
+        fixture_->submit_job(2, job_fixture::make_job("00000000000000b1", 4));
+        fixture_->advance(milliseconds(50));
+        for (const start_run& it : fixture_->take_actions<start_run>()) {
+            CPPUNIT_ASSERT(it.to.id != refusing);
+        }
+        CPPUNIT_ASSERT(!fixture_->take_actions<fetch_report>().empty());
+    }
+
     void a_restarted_worker_gets_no_runs_by_the_entry_of_its_former_process()
     {
         fixture_->acquire_cell();
--- a/packages/daemon/include/papayafall/daemon/kept/http_connection_pool.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/http_connection_pool.hpp
@@ -5,9 +5,28 @@
 #include <cstddef>
 #include <deque>
 #include <list>
+#include <memory>
 
 namespace papayafall {
 
+/// Finds out which process of a server is at the other end of a connection.
+class process_check {
+  public:
+    process_check() = default;
+    process_check(const process_check&) = delete;
+    process_check& operator=(const process_check&) = delete;
+    virtual ~process_check() = default;
+
+    /// Process that a call is meant for.
+    virtual server_process expected() const = 0;
+
+    /// Request whose response names the process, and that changes nothing there.
+    virtual http_request_message request() const = 0;
+
+    /// Process that a response to the request names; 0: none.
+    virtual server_process process_in(const http_reply_message& reply) const = 0;
+};
+
 /// Pool of persistent HTTP connections to one address. When all connections are busy, calls wait
 /// for a free one in the order in which they were sent.
 class http_connection_pool {
@@ -22,6 +41,12 @@
     void send(http_request_message request, time_point deadline,
               persistent_connection::result_handler handle);
 
+    /// Sends a request only to a certain process of the server. A connection that has not carried a
+    /// check yet carries one before the request. The call fails as `other_process` if the process
+    /// is another one or does not tell; then nothing was sent but the check.
+    void send_to_process(std::shared_ptr<const process_check> check, http_request_message request,
+                         time_point deadline, persistent_connection::result_handler handle);
+
     /// Fails the calls whose deadline has passed: those in progress, and queued ones in their
     /// order.
     void on_tick(time_point now);
@@ -37,10 +62,14 @@
         http_request_message request;
         time_point deadline;
         persistent_connection::result_handler handle;
+        std::shared_ptr<const process_check> check; ///< empty: any process may get the request
     };
 
+    void send(waiting_call call);
+
     persistent_connection* find_free_connection();
     void start_call(persistent_connection& connection, waiting_call call);
+    void send_check(persistent_connection& connection, waiting_call call);
     void start_next_call();
 
     endpoint address_;
--- a/packages/daemon/include/papayafall/daemon/kept/persistent_connection.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/persistent_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/values/host.hpp"
+#include "papayafall/core/values/identifiers.hpp"
 #include "papayafall/core/values/time.hpp"
 #include "papayafall/platform/http/http_connection.hpp"
 
@@ -10,12 +11,16 @@
 
 namespace papayafall {
 
+/// Number of one process of a server, which a restarted server changes; 0: unknown.
+using server_process = basic_number<struct server_process_tag>;
+
 /// Reason why a call got no response.
 enum class exchange_error : std::uint8_t {
     none,
-    refused,   ///< connection refused; nothing was sent
-    broken,    ///< the connection was closed; the call may have been executed
-    timed_out, ///< no response before the deadline; the call may have been executed
+    refused,       ///< connection refused; nothing was sent
+    broken,        ///< the connection was closed; the call may have been executed
+    timed_out,     ///< no response before the deadline; the call may have been executed
+    other_process, ///< the server's process is another one or not known; the call was not sent
 };
 
 /// Result of a call.
@@ -46,6 +51,13 @@
 
     const endpoint& address() const noexcept { return address_; }
 
+    /// Process of the server at the other end of the open connection, as far as a response on this
+    /// connection has told it. A process that ends takes its connections along.
+    server_process process() const { return open() ? process_ : server_process(); }
+
+    /// Records the process that a response on this connection has named.
+    void set_process(server_process it) { process_ = it; }
+
     /// Sends a request; connects first if necessary.
     /// @param deadline the call fails as timed out then
     /// @param handle   called once with the result, never from within this function
@@ -65,6 +77,7 @@
     endpoint address_;
     http_limits limits_;
     http_connection_ptr connection_; ///< empty before the first call and after a timeout
+    server_process process_;
     result_handler handler_;
     time_point deadline_ = no_deadline;
 };
--- a/packages/daemon/src/kept/http_connection_pool.cpp
+++ b/packages/daemon/src/kept/http_connection_pool.cpp
@@ -14,8 +14,22 @@
 void http_connection_pool::send(http_request_message request, time_point deadline,
                                 persistent_connection::result_handler handle)
 {
-    waiting_call call{
-        .request = std::move(request), .deadline = deadline, .handle = std::move(handle)};
+    send(waiting_call{
+        .request = std::move(request), .deadline = deadline, .handle = std::move(handle)});
+}
+
+void http_connection_pool::send_to_process(std::shared_ptr<const process_check> check,
+                                           http_request_message request, time_point deadline,
+                                           persistent_connection::result_handler handle)
+{
+    send(waiting_call{.request = std::move(request),
+                      .deadline = deadline,
+                      .handle = std::move(handle),
+                      .check = std::move(check)});
+}
+
+void http_connection_pool::send(waiting_call call)
+{
     persistent_connection* const connection = find_free_connection();
     if (connection == nullptr) {
         waiting_calls_.push_back(std::move(call));
@@ -76,6 +90,10 @@
 
 void http_connection_pool::start_call(persistent_connection& connection, waiting_call call)
 {
+    if (call.check != nullptr && connection.process() != call.check->expected()) {
+        send_check(connection, std::move(call));
+        return;
+    }
     connection.send(call.request, call.deadline,
                     [this, handle = std::move(call.handle)](const exchange_result& result) {
                         handle(result);
@@ -83,6 +101,25 @@
                     });
 }
 
+void http_connection_pool::send_check(persistent_connection& connection, waiting_call call)
+{
+    const auto check = call.check;
+    connection.send(check->request(), call.deadline,
+                    [this, &connection, call = std::move(call)](const exchange_result& result) {
+                        if (result.error == exchange_error::none) {
+                            connection.set_process(call.check->process_in(result.reply));
+                        }
+                        if (connection.process() == call.check->expected()) {
+                            start_call(connection, call);
+                            return;
+                        }
+                        const bool refused = result.error == exchange_error::refused;
+                        call.handle({.error = refused ? exchange_error::refused
+                                                      : exchange_error::other_process});
+                        start_next_call();
+                    });
+}
+
 void http_connection_pool::start_next_call()
 {
     if (waiting_calls_.empty()) {
--- a/packages/daemon/src/kept/persistent_connection.cpp
+++ b/packages/daemon/src/kept/persistent_connection.cpp
@@ -43,6 +43,7 @@
     deadline_ = deadline;
     if (connection_ == nullptr || connection_->is_closed()) {
         connection_ = new http_connection(address_, limits_);
+        process_ = {};
     }
     connection_->send(
         encode_request(request, address_.address + ":" + std::to_string(address_.port)), deadline,
