Index the places of workers and foretell when they come free

A refusal summed the free cores of all workers for each job, though these may lie in pieces that no task fits, and each load report read all sessions. The invariants of the board compare the index with a full scan.

--- a/packages/core/include/papayafall/core/blackboard/table.hpp
+++ b/packages/core/include/papayafall/core/blackboard/table.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace papayafall {
 
@@ -41,6 +42,22 @@
     table<Key, Value>* table_;
 };
 
+/// The keys of one table that were written, for an index that is kept up to date with the table.
+/// Each table has at most one.
+template <typename Key, typename Value>
+class table_changes {
+  public:
+    /// Returns the keys that were put or erased since the last call, in order, some repeatedly.
+    std::vector<Key> take() { return std::exchange(table_->changed_keys_, {}); }
+
+  private:
+    friend class table<Key, Value>;
+
+    explicit table_changes(table<Key, Value>& owner) noexcept : table_(&owner) {}
+
+    table<Key, Value>* table_;
+};
+
 /// A section of the blackboard that holds immutable values by key, indexed by key and by deadline.
 ///
 /// Only the holder of the `table_writer` can modify the table. Entries are linked into two
@@ -87,6 +104,7 @@
 
   public:
     using const_iterator = typename key_index::const_iterator;
+    using deadline_iterator = typename deadline_index::const_iterator;
 
     table() = default;
     table(const table&) = delete;
@@ -105,6 +123,17 @@
         return table_writer<Key, Value>(*this);
     }
 
+    /// Records from now on which keys are written.
+    /// @throws ownership_error if the changes are recorded for another reader already
+    table_changes<Key, Value> follow()
+    {
+        if (followed_) {
+            throw ownership_error("a blackboard table was followed by a second reader");
+        }
+        followed_ = true;
+        return table_changes<Key, Value>(*this);
+    }
+
     /// Returns the value under `key`, or nullptr. Complexity: logarithmic.
     /// The pointer is valid until the value is replaced or erased.
     const Value* find(const Key& key) const
@@ -127,6 +156,11 @@
     /// Returns the first entry whose key is not less than `key`.
     const_iterator lower_bound(const Key& key) const { return keys_.lower_bound(key); }
 
+    /// Iterates over the entries in the order of their deadlines.
+    deadline_iterator earliest() const noexcept { return deadlines_.begin(); }
+
+    deadline_iterator latest_end() const noexcept { return deadlines_.end(); }
+
     /// Returns the earliest deadline of all entries, or `no_deadline` if there is none.
     time_point next_deadline() const noexcept
     {
@@ -151,6 +185,7 @@
 
   private:
     friend class table_writer<Key, Value>;
+    friend class table_changes<Key, Value>;
 
     void put(const Key& key, Value value, time_point deadline)
     {
@@ -159,6 +194,7 @@
         keys_.insert(*it);
         deadlines_.insert(*it);
         it.detach();
+        record_change(key);
     }
 
     bool erase(const Key& key)
@@ -167,10 +203,19 @@
         if (it == keys_.end()) {
             return false;
         }
+        const Key erased = it->key; // `key` may be part of the entry
         unlink(*it);
+        record_change(erased);
         return true;
     }
 
+    void record_change(const Key& key)
+    {
+        if (followed_) {
+            changed_keys_.push_back(key);
+        }
+    }
+
     void unlink(entry& it)
     {
         const boost::intrusive_ptr<entry> last_reference(&it, false);
@@ -187,7 +232,9 @@
 
     key_index keys_;
     deadline_index deadlines_;
+    std::vector<Key> changed_keys_;
     bool claimed_ = false;
+    bool followed_ = false;
 };
 
 } // namespace papayafall
--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -10,6 +10,7 @@
 #include "papayafall/core/jobs/state/job_state.hpp"
 #include "papayafall/core/jobs/state/lifecycle_state.hpp"
 #include "papayafall/core/jobs/state/membership_state.hpp"
+#include "papayafall/core/jobs/state/place_index.hpp"
 #include "papayafall/core/jobs/state/worker_state.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 
@@ -99,6 +100,12 @@
     // written by health_controller
     table<worker_id, worker_health> health;
 
+    // written by place_controller
+    table<worker_id, indexed_worker> indexed_workers;
+    /// Free capacity of the workers that can be given runs.
+    table<free_capacity_key, resources> free_capacities;
+    table<service_name, service_capacity> service_capacities;
+
     // written by crash_controller
     table<task_id, std::uint32_t> task_crashes;   ///< workers that crashed under each task lately
     table<worker_id, time_point> crashed_workers; ///< when each (probably) crashed, for a while
@@ -117,8 +124,8 @@
     table<job_origin, job_number> jobs_by_origin;
     table<task_ref, task_state> tasks;
     table<waiting_rank, task_ref> waiting_tasks;
-    table<task_ref, waiting_rank> waiting_ranks; ///< index of `waiting_tasks`
-    table<run_id, run_state> runs;
+    table<task_ref, waiting_rank> waiting_ranks;   ///< index of `waiting_tasks`
+    table<run_id, run_state> runs;                 ///< their deadlines are their expected ends
     table<run_location, run_phase> runs_by_worker; ///< index of `runs`
     table<worker_id, worker_load> worker_loads;
     /// Tasks under which workers crashed and that run now, each alone on a worker.
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -95,6 +95,7 @@
     std::int64_t worker_started_at_ms = 0;
     run_phase phase = run_phase::starting;
     time_point start_sent_at{};
+    time_point expected_end{}; ///< from the declared run time and the speed of the worker
     /// When the worker answered the start, or when a stop that it answered has taken effect. A
     /// report that is requested later lists the run unless it has ended.
     time_point confirmed_at = no_deadline;
--- a/packages/core/include/papayafall/core/jobs/values/place_counts.hpp
+++ b/packages/core/include/papayafall/core/jobs/values/place_counts.hpp
@@ -23,6 +23,8 @@
     std::array<std::uint32_t, place_class_count> free{};
 
     auto operator<=>(const place_counts&) const = default;
+
+    place_counts operator+(const place_counts& it) const noexcept;
 };
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/board/job_board.cpp
+++ b/packages/core/src/jobs/board/job_board.cpp
@@ -1,9 +1,12 @@
 #include "papayafall/core/jobs/board/job_board.hpp"
 
 #include "papayafall/core/errors/exception.hpp"
+#include "papayafall/core/jobs/controllers/place_controller.hpp"
 #include "papayafall/core/values/stable_hash.hpp"
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace papayafall::jobs {
@@ -13,6 +16,38 @@
 /// Between the name of the zone and the number in the id of a cell.
 constexpr char cell_separator = '/';
 
+/// Compares the index of places with the sections that it is derived from.
+void check_place_index(const job_board& board)
+{
+    std::map<service_name, service_capacity> sums;
+    std::size_t indexed = 0;
+    std::size_t ready = 0;
+    for (const auto& it : board.sessions) {
+        const std::optional<indexed_worker> expected = describe_worker(board, it.key);
+        const indexed_worker* found = board.indexed_workers.find(it.key);
+        ensure(expected.has_value() == (found != nullptr), "the index holds the usable workers");
+        if (!expected) {
+            continue;
+        }
+        ensure(*found == *expected, "the index describes each worker as it is");
+        ++indexed;
+        sums[expected->service] = changed_by(sums[expected->service], *expected, true);
+        if (!expected->ready) {
+            continue;
+        }
+        ++ready;
+        ensure(board.free_capacities.contains({.service = expected->service,
+                                               .free_cpu_millis = expected->free.cpu_millis,
+                                               .worker = it.key}),
+               "each ready worker is found by its free capacity");
+    }
+    ensure(indexed == board.indexed_workers.size(), "the index holds no other workers");
+    ensure(ready == board.free_capacities.size(), "only ready workers are found by capacity");
+    for (const auto& it : board.service_capacities) {
+        ensure(sums[it.key] == it.value, "the capacity of a service is the sum of its workers");
+    }
+}
+
 } // namespace
 
 void job_board::check_invariants() const
@@ -41,6 +76,7 @@
     for (const auto& it : worker_loads) {
         ensure(used[it.key] == it.value, "the load of a worker is the sum of its runs");
     }
+    check_place_index(*this);
     for (const auto& it : calls_by_delegation) {
         ensure(calls.contains(it.value), "each delegation belongs to a call");
     }
--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -1,7 +1,6 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
-#include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -48,22 +47,9 @@
             log_decision{"job_refused", order.job->id.text(), {{"reason", "crashed_workers"}}});
         return job_outcome::failed;
     }
-    std::int64_t total_cpu_millis = 0;
-    std::int64_t free_cpu_millis = 0;
-    for (const auto& it : board.sessions) {
-        const worker* entry = current_entry(board, it.key, it.value);
-        const held_cell* held = board.held_cells.find(it.value.cell);
-        if (entry == nullptr || held == nullptr || held->phase != cell_phase::held ||
-            (*entry)->service != order.service || (*entry)->draining) {
-            continue;
-        }
-        const worker_load* load = board.worker_loads.find(it.key);
-        total_cpu_millis += (*entry)->capacity.cpu_millis;
-        free_cpu_millis +=
-            it.value.phase == session_phase::ready
-                ? (*entry)->capacity.cpu_millis - (load == nullptr ? 0 : load->used.cpu_millis)
-                : 0;
-    }
+    const service_capacity* capacity = board.service_capacities.find(order.service);
+    const std::int64_t total_cpu_millis = capacity == nullptr ? 0 : capacity->total_cpu_millis;
+    const std::int64_t free_cpu_millis = capacity == nullptr ? 0 : capacity->free_cpu_millis;
     if (total_cpu_millis == 0) {
         return job_outcome::refused;
     }
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -80,6 +80,7 @@
                         .need = step.need,
                         .worker_started_at_ms = session.started_at_ms,
                         .start_sent_at = now,
+                        .expected_end = now + step.estimated_run_time,
                         .progress_at = latest_worker_time(session, now)};
     put_run(id, run);
     if (trial) {
@@ -371,7 +372,7 @@
 
 void dispatch_controller::put_run(const run_id& id, const run_state& run)
 {
-    runs_.put(id, run);
+    runs_.put(id, run, run.expected_end);
     runs_by_worker_.put({run.worker, id}, run.phase);
 }
 
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -1,6 +1,5 @@
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
-#include "papayafall/core/jobs/controllers/session_controller.hpp"
 #include "papayafall/core/policies/rendezvous_hash.hpp"
 
 #include <algorithm>
@@ -88,15 +87,10 @@
     for (const auto& it : board.held_cells) {
         holds_cells = holds_cells || it.value.phase == cell_phase::held;
     }
-    for (const auto& it : board.sessions) {
-        const worker* entry = current_entry(board, it.key, it.value);
-        if (entry == nullptr || it.value.phase != session_phase::ready || (*entry)->draining) {
-            continue;
-        }
-        const worker_load* used = board.worker_loads.find(it.key);
-        const std::int64_t used_cpu_millis = used == nullptr ? 0 : used->used.cpu_millis;
-        load.total_cpu_millis += (*entry)->capacity.cpu_millis;
-        load.free_cpu_millis += (*entry)->capacity.cpu_millis - used_cpu_millis;
+    for (const auto& it : board.service_capacities) {
+        load.total_cpu_millis += it.value.ready_cpu_millis;
+        load.free_cpu_millis += it.value.free_cpu_millis;
+        load.places = load.places + it.value.places;
     }
     load.accepting = holds_cells && !board.lifecycle->leaving && load.total_cpu_millis > 0;
     if (load.total_cpu_millis > 0) {
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -9,6 +9,7 @@
 #include "papayafall/core/jobs/controllers/intake_controller.hpp"
 #include "papayafall/core/jobs/controllers/lifecycle_controller.hpp"
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
+#include "papayafall/core/jobs/controllers/place_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <utility>
@@ -45,6 +46,7 @@
     controllers.push_back(
         std::make_unique<dispatch_controller>(*board, policies.placement, policies.admission));
     controllers.push_back(std::make_unique<session_controller>(*board));
+    controllers.push_back(std::make_unique<place_controller>(*board));
     return std::make_unique<job_engine>(std::move(board), std::move(controllers));
 }
 
--- a/packages/core/src/jobs/values/place_counts.cpp
+++ b/packages/core/src/jobs/values/place_counts.cpp
@@ -25,4 +25,13 @@
     return class_bounds[place_class];
 }
 
+place_counts place_counts::operator+(const place_counts& it) const noexcept
+{
+    place_counts sum = *this;
+    for (std::size_t n = 0; n < place_class_count; ++n) {
+        sum.free.at(n) += it.free.at(n);
+    }
+    return sum;
+}
+
 } // namespace papayafall::jobs
