Place tasks by their slack on workers of learned speed

Callers of long tasks got late answers while half of the workers were free: short tasks were placed on the fastest workers first, and the long ones, which have hardly any slack, on the slow ones.

The slowness of each worker is now learned from its runs, robust against declared times that are far off, and a new worker counts like the others of its label. slack_aware_placement takes the slowest worker on which a task is expected to end in time, and among equally fast ones the one on which the least room becomes unusable for tasks like the recent ones; it replaces best_fit.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -11,7 +11,9 @@
 #include "papayafall/core/jobs/state/lifecycle_state.hpp"
 #include "papayafall/core/jobs/state/membership_state.hpp"
 #include "papayafall/core/jobs/state/place_index.hpp"
+#include "papayafall/core/jobs/state/slowness_estimate.hpp"
 #include "papayafall/core/jobs/state/worker_state.hpp"
+#include "papayafall/core/jobs/values/demand_sample.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 
 #include <cstddef>
@@ -105,6 +107,12 @@
     /// Free capacity of the workers that can be given runs.
     table<free_capacity_key, resources> free_capacities;
     table<service_name, service_capacity> service_capacities;
+    cell<time_point> room_log_due;
+
+    // written by speed_controller
+    table<worker_id, slowness_estimate> worker_slowness;
+    table<label_name, slowness_estimate> label_slowness; ///< the empty label stands for all workers
+    cell<time_point> speed_review_due;
 
     // written by crash_controller
     table<task_id, std::uint32_t> task_crashes;   ///< workers that crashed under each task lately
@@ -133,6 +141,8 @@
     cell<worker_id> reserved_worker; ///< gets no runs but a trial; empty: none
     table<queue_name, queue_statistics> run_time_statistics;
     cell<core_time> queued_work; ///< declared work of all waiting tasks
+    cell<demand_sample> recent_demands;
+    cell<place_reservation> reserved_place;
 
     // appended to by every controller, drained by the engine
     message_queue<job_event> raised;
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -55,6 +55,11 @@
     /// Starts a run of a waiting task on a worker.
     /// @return false if no worker can take it now
     bool start_task(job_board& board, const task_ref& task, time_point now);
+    placement_demand placement_demand_of(const job_board& board, const task_ref& task,
+                                         time_point now) const;
+    /// Keeps room for a task that fits nowhere on the worker that is expected to have it first, so
+    /// that smaller tasks do not take each piece of it that becomes free.
+    void reserve_place(const job_board& board, const task_ref& task, time_point now);
     /// Workers that can take the task now. Workers to avoid are left out if any other worker could
     /// run the task, even if that one is busy now.
     /// A task under which workers crashed is placed alone on a worker, which then gets no other
@@ -116,6 +121,8 @@
     cell_writer<worker_id> reserved_worker_;
     table_writer<queue_name, queue_statistics> run_time_statistics_;
     cell_writer<core_time> queued_work_;
+    cell_writer<demand_sample> recent_demands_;
+    cell_writer<place_reservation> reserved_place_;
 };
 
 /// Whether a worker crashed under the task lately, so that it may only run alone on a worker.
--- a/packages/core/include/papayafall/core/jobs/controllers/place_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/place_controller.hpp
@@ -26,6 +26,8 @@
     void refresh(job_board& board);
     void index_worker(job_board& board, const worker_id& id);
     void add_to_sums(job_board& board, const indexed_worker& it, bool added);
+    /// Logs how much of the free room of each service is of use to tasks like the recent ones.
+    void log_room(job_board& board);
 
     table_changes<worker_id, worker_session> changed_sessions_;
     table_changes<worker_id, worker> changed_entries_;
@@ -34,8 +36,13 @@
     table_writer<worker_id, indexed_worker> indexed_workers_;
     table_writer<free_capacity_key, resources> free_capacities_;
     table_writer<service_name, service_capacity> service_capacities_;
+    cell_writer<time_point> room_log_due_;
 };
 
+/// Entry of a worker that may be given new runs once its session is ready, or nullptr.
+const worker* usable_entry(const job_board& board, const worker_id& id,
+                           const worker_session& session);
+
 /// Describes a worker for the index from what the board says of it now.
 /// @return nothing if the worker is given no runs and counts for no capacity
 std::optional<indexed_worker> describe_worker(const job_board& board, const worker_id& id);
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -282,7 +282,9 @@
 /// A run ended successfully and its run time is known.
 struct run_time_measured {
     worker_id worker;
-    double ratio = 1; ///< measured divided by expected run time
+    double ratio = 1;    ///< measured divided by expected run time, on workers of its kind
+    duration measured{}; ///< from the start call to the report of the end
+    duration declared{}; ///< by the caller
 };
 
 /// All runs that this host started on an unreachable worker have ended, because their leases have
--- a/packages/core/include/papayafall/core/jobs/policies/place_forecast.hpp
+++ b/packages/core/include/papayafall/core/jobs/policies/place_forecast.hpp
@@ -3,6 +3,7 @@
 #include "papayafall/core/jobs/board/job_board.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace papayafall::jobs {
 
@@ -26,6 +27,19 @@
 place_forecast forecast_places(const job_board& board, const service_name& service,
                                const resources& need, std::uint32_t wanted, time_point now);
 
+/// The place for one task that comes free next.
+struct next_place {
+    worker_id worker;
+    time_point available_at; ///< when the worker is expected to have the room
+
+    auto operator<=>(const next_place&) const = default;
+};
+
+/// Foretells on which worker a task that fits nowhere now has room first, under the same conditions
+/// as `forecast_places`.
+std::optional<next_place> soonest_place(const job_board& board, const service_name& service,
+                                        const resources& need, time_point now);
+
 /// Instant at which a run is expected to have ended. One that takes longer than foreseen is
 /// expected to go on for a part of the time that it has taken.
 time_point expected_end_of(const run_state& run, const job_parameters& parameters, time_point now);
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -115,6 +115,16 @@
     auto operator<=>(const run_location&) const = default;
 };
 
+/// Room that is kept for the first waiting task that fits nowhere.
+struct place_reservation {
+    task_ref task;
+    worker_id worker; ///< empty: no room is kept
+    resources need;
+    time_point available_at{}; ///< when the worker is expected to have the room
+
+    auto operator<=>(const place_reservation&) const = default;
+};
+
 /// Amount of work, in microseconds of one core.
 struct core_time {
     std::int64_t microseconds = 0;
@@ -125,6 +135,9 @@
 /// Run times measured for the tasks of a queue.
 struct queue_statistics {
     double run_time_factor = 1; ///< moving average of measured divided by declared run time
+    /// Moving average of measured run time divided by the declared one and by the slowness of
+    /// workers like the one that was measured.
+    double relative_factor = 1;
 
     auto operator<=>(const queue_statistics&) const = default;
 };
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -50,7 +50,8 @@
       runs_by_worker_(board.runs_by_worker.claim()), worker_loads_(board.worker_loads.claim()),
       trials_(board.trials.claim()), reserved_worker_(board.reserved_worker.claim()),
       run_time_statistics_(board.run_time_statistics.claim()),
-      queued_work_(board.queued_work.claim())
+      queued_work_(board.queued_work.claim()), recent_demands_(board.recent_demands.claim()),
+      reserved_place_(board.reserved_place.claim())
 {
 }
 
@@ -282,8 +283,9 @@
 
 void dispatch_controller::enqueue_step(job_board& board, job_number number, std::uint32_t step)
 {
-    const std::uint32_t count = (*board.jobs.find(number))->order->job->steps[step].count;
-    for (std::uint32_t n = 0; n < count; ++n) {
+    const job_step& added = (*board.jobs.find(number))->order->job->steps[step];
+    recent_demands_.put(board.recent_demands->with(added.need.cpu_millis));
+    for (std::uint32_t n = 0, count = added.count; n < count; ++n) {
         const task_ref task{.job = number, .step = step, .index = n};
         tasks_.put(task, {});
         enqueue_task(board, task);
@@ -327,6 +329,7 @@
     }
     std::size_t unplaced = 0;
     bool reservation_needed = false;
+    reserved_place_.put({});
     for (const task_ref& it : offered) {
         if (unplaced == max_unplaced_tasks) {
             return;
@@ -336,6 +339,9 @@
         }
         if (!needs_trial(board, it)) {
             ++unplaced;
+            if (unplaced == 1) {
+                reserve_place(board, it, now);
+            }
         } else if (!reservation_needed && trial_allowed(board, it)) {
             reservation_needed = true;
             reserve_worker(board, it);
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -68,7 +68,8 @@
         return false;
     }
     const job_step& step = order.job->steps[task.step];
-    const placement_candidate& chosen = candidates[placement_->choose(step, candidates)];
+    const placement_candidate& chosen =
+        candidates[placement_->choose(placement_demand_of(board, task, now), candidates)];
     const worker_id chosen_worker = chosen.entry->id;
     const worker_session& session = *board.sessions.find(chosen_worker);
     const lease_request lease = request_lease(session, lease_length(board.parameters), now);
@@ -80,7 +81,7 @@
                         .need = step.need,
                         .worker_started_at_ms = session.started_at_ms,
                         .start_sent_at = now,
-                        .expected_end = now + step.estimated_run_time,
+                        .expected_end = now + chosen.expected_run_time,
                         .progress_at = latest_worker_time(session, now)};
     put_run(id, run);
     if (trial) {
--- a/packages/core/src/jobs/controllers/place_controller.cpp
+++ b/packages/core/src/jobs/controllers/place_controller.cpp
@@ -2,14 +2,20 @@
 
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 
+#include <chrono>
+#include <cmath>
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace papayafall::jobs {
 
 namespace {
 
+constexpr duration room_log_period = std::chrono::seconds(5);
+
 free_capacity_key key_of(const worker_id& id, const indexed_worker& it)
 {
     return {.service = it.service, .free_cpu_millis = it.free.cpu_millis, .worker = id};
@@ -17,15 +23,22 @@
 
 } // namespace
 
+const worker* usable_entry(const job_board& board, const worker_id& id,
+                           const worker_session& session)
+{
+    const worker* entry = current_entry(board, id, session);
+    return entry == nullptr || (*entry)->draining ? nullptr : entry;
+}
+
 std::optional<indexed_worker> describe_worker(const job_board& board, const worker_id& id)
 {
     const worker_session* session = board.sessions.find(id);
     if (session == nullptr) {
         return std::nullopt;
     }
-    const worker* entry = current_entry(board, id, *session);
+    const worker* entry = usable_entry(board, id, *session);
     const held_cell* held = board.held_cells.find(session->cell);
-    if (entry == nullptr || held == nullptr || (*entry)->draining) {
+    if (entry == nullptr || held == nullptr) {
         return std::nullopt;
     }
     const worker_load* load = board.worker_loads.find(id);
@@ -42,7 +55,8 @@
       changed_loads_(board.worker_loads.follow()), changed_cells_(board.held_cells.follow()),
       indexed_workers_(board.indexed_workers.claim()),
       free_capacities_(board.free_capacities.claim()),
-      service_capacities_(board.service_capacities.claim())
+      service_capacities_(board.service_capacities.claim()),
+      room_log_due_(board.room_log_due.claim())
 {
 }
 
@@ -52,9 +66,13 @@
     refresh(board);
 }
 
-void place_controller::on_tick(job_board& board, const clock_reading& /*now*/)
+void place_controller::on_tick(job_board& board, const clock_reading& now)
 {
     refresh(board);
+    if (now.steady >= *board.room_log_due) {
+        room_log_due_.put(now.steady + room_log_period);
+        log_room(board);
+    }
 }
 
 void place_controller::refresh(job_board& board)
@@ -108,4 +126,22 @@
     service_capacities_.put(it.service, next);
 }
 
+void place_controller::log_room(job_board& board)
+{
+    std::map<service_name, double> unusable;
+    for (const auto& it : board.free_capacities) {
+        unusable[it.key.service] +=
+            unusable_cpu_millis(it.key.free_cpu_millis, *board.recent_demands);
+    }
+    for (const auto& it : board.service_capacities) {
+        board.outbox.post(
+            log_decision{"room_left",
+                         it.key.text(),
+                         {{"workers", std::to_string(it.value.workers)},
+                          {"total", std::to_string(it.value.total_cpu_millis)},
+                          {"free", std::to_string(it.value.free_cpu_millis)},
+                          {"unusable", std::to_string(std::llround(unusable[it.key]))}}});
+    }
+}
+
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -11,6 +11,8 @@
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 #include "papayafall/core/jobs/controllers/place_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
+#include "papayafall/core/jobs/controllers/speed_controller.hpp"
+#include "papayafall/core/jobs/policies/slack_aware_placement.hpp"
 
 #include <utility>
 #include <vector>
@@ -20,7 +22,7 @@
 job_policies standard_job_policies()
 {
     return {
-        .placement = std::make_shared<best_fit>(),
+        .placement = std::make_shared<slack_aware_placement>(),
         .admission = std::make_shared<admit_within_objective>(),
         .selection = std::make_shared<shortest_wait>(),
         .ejection = std::make_shared<eject_after_failures>(),
@@ -40,6 +42,7 @@
     controllers.push_back(std::make_unique<cell_controller>(*board));
     controllers.push_back(std::make_unique<crash_controller>(*board));
     controllers.push_back(std::make_unique<health_controller>(*board, policies.ejection));
+    controllers.push_back(std::make_unique<speed_controller>(*board));
     controllers.push_back(
         std::make_unique<intake_controller>(*board, policies.selection, policies.admission));
     // Tasks are started before leases are extended, so that a report call covers the new runs.
--- a/packages/core/src/jobs/policies/place_forecast.cpp
+++ b/packages/core/src/jobs/policies/place_forecast.cpp
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <limits>
 #include <map>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace papayafall::jobs {
@@ -36,20 +36,73 @@
     return false;
 }
 
+/// Chooses the workers that count for a forecast.
+class worker_filter {
+  public:
+    worker_filter(const job_board& board, const service_name& service, time_point now)
+        : board_(board), service_(service), now_(now),
+          skips_avoided_(has_healthy_worker(board, service, now))
+    {
+    }
+
+    bool operator()(const worker_id& id) const
+    {
+        return !(skips_avoided_ && is_avoided(board_, id, now_)) && !board_.trials.contains(id) &&
+               id != *board_.reserved_worker;
+    }
+
+    /// The worker's part of the index if it can be given runs of the service, or nullptr.
+    const indexed_worker* find(const worker_id& id) const
+    {
+        const indexed_worker* found = board_.indexed_workers.find(id);
+        const bool usable =
+            found != nullptr && found->ready && found->service == service_ && (*this)(id);
+        return usable ? found : nullptr;
+    }
+
+  private:
+    const job_board& board_;
+    const service_name& service_;
+    time_point now_;
+    bool skips_avoided_;
+};
+
+struct run_end {
+    time_point at;
+    const run_state* run = nullptr;
+};
+
 /// Ends of the runs that end first, in order.
-std::vector<std::pair<time_point, const run_state*>> next_run_ends(const job_board& board,
-                                                                   time_point now)
+std::vector<run_end> next_run_ends(const job_board& board, time_point now)
 {
-    std::vector<std::pair<time_point, const run_state*>> ends;
+    std::vector<run_end> ends;
     for (auto it = board.runs.earliest();
          it != board.runs.latest_end() && ends.size() < max_considered_runs; ++it) {
-        ends.emplace_back(expected_end_of(it->value, board.parameters, now), &it->value);
+        ends.push_back({expected_end_of(it->value, board.parameters, now), &it->value});
     }
-    std::sort(ends.begin(), ends.end(),
-              [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::sort(ends.begin(), ends.end(), [](const run_end& a, const run_end& b) {
+        return std::tie(a.at, a.run->worker) < std::tie(b.at, b.run->worker);
+    });
     return ends;
 }
 
+/// Adds up the room that comes free on each worker as its runs end.
+class freed_room {
+  public:
+    /// Places that the worker has more than before the run ended.
+    std::uint32_t places_added(const indexed_worker& indexed, const run_state& run,
+                               const resources& need)
+    {
+        resources& free = free_later_.emplace(run.worker, indexed.free).first->second;
+        const std::uint32_t before = places_within(free, need);
+        free = free + run.need;
+        return places_within(free, need) - before;
+    }
+
+  private:
+    std::map<worker_id, resources> free_later_;
+};
+
 } // namespace
 
 time_point expected_end_of(const run_state& run, const job_parameters& parameters, time_point now)
@@ -66,16 +119,12 @@
 place_forecast forecast_places(const job_board& board, const service_name& service,
                                const resources& need, std::uint32_t wanted, time_point now)
 {
-    const bool skips_avoided = has_healthy_worker(board, service, now);
-    const auto usable = [&](const worker_id& id) {
-        return !(skips_avoided && is_avoided(board, id, now)) && !board.trials.contains(id) &&
-               id != *board.reserved_worker;
-    };
+    const worker_filter workers(board, service, now);
     std::uint64_t places = 0;
     for (auto it = board.free_capacities.lower_bound(
              {.service = service, .free_cpu_millis = need.cpu_millis});
          it != board.free_capacities.end() && it->key.service == service && places < wanted; ++it) {
-        if (usable(it->key.worker)) {
+        if (workers(it->key.worker)) {
             places += places_within(it->value, need);
         }
     }
@@ -85,23 +134,33 @@
         forecast.available_at = now;
         return forecast;
     }
-    std::map<worker_id, resources> free_later;
-    for (const auto& [ends_at, run] : next_run_ends(board, now)) {
-        const indexed_worker* indexed = board.indexed_workers.find(run->worker);
-        if (indexed == nullptr || !indexed->ready || indexed->service != service ||
-            !usable(run->worker)) {
+    freed_room freed;
+    for (const run_end& it : next_run_ends(board, now)) {
+        const indexed_worker* indexed = workers.find(it.run->worker);
+        if (indexed == nullptr) {
             continue;
         }
-        resources& free = free_later.emplace(run->worker, indexed->free).first->second;
-        places -= places_within(free, need);
-        free = free + run->need;
-        places += places_within(free, need);
+        places += freed.places_added(*indexed, *it.run, need);
         if (places >= wanted) {
-            forecast.available_at = ends_at;
-            return forecast;
+            forecast.available_at = it.at;
+            break;
         }
     }
     return forecast;
 }
 
+std::optional<next_place> soonest_place(const job_board& board, const service_name& service,
+                                        const resources& need, time_point now)
+{
+    const worker_filter workers(board, service, now);
+    freed_room freed;
+    for (const run_end& it : next_run_ends(board, now)) {
+        const indexed_worker* indexed = workers.find(it.run->worker);
+        if (indexed != nullptr && freed.places_added(*indexed, *it.run, need) > 0) {
+            return next_place{it.run->worker, it.at};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace papayafall::jobs
--- a/packages/core/tests/unit-blackboard.cpp
+++ b/packages/core/tests/unit-blackboard.cpp
@@ -3,6 +3,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <vector>
+
 using namespace papayafall;
 
 namespace {
@@ -12,6 +14,7 @@
     CPPUNIT_TEST(put_replaces_the_value_and_its_deadline);
     CPPUNIT_TEST(second_claim_throws_ownership_error);
     CPPUNIT_TEST(expired_returns_the_key_with_the_earliest_deadline);
+    CPPUNIT_TEST(changes_name_the_keys_that_were_written);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -48,6 +51,22 @@
         CPPUNIT_ASSERT(writer.erase(host_name("b")));
         CPPUNIT_ASSERT(!hosts.expired(time_point(duration(8))));
     }
+
+    void changes_name_the_keys_that_were_written()
+    {
+        table<host_name, int> hosts;
+        auto writer = hosts.claim();
+        writer.put(host_name("before"), 1);
+        auto changes = hosts.follow();
+        CPPUNIT_ASSERT_THROW(hosts.follow(), ownership_error);
+        writer.put(host_name("a"), 1);
+        writer.erase(host_name("before"));
+        writer.erase(host_name("unknown"));
+
+        const std::vector<host_name> expected{host_name("a"), host_name("before")};
+        CPPUNIT_ASSERT(changes.take() == expected);
+        CPPUNIT_ASSERT(changes.take().empty());
+    }
 };
 
 class value_test : public CppUnit::TestFixture {
