--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -55,6 +55,11 @@
     /// Starts a run of a waiting task on a worker.
     /// @return false if no worker can take it now
     bool start_task(job_board& board, const task_ref& task, time_point now);
+    placement_demand placement_demand_of(const job_board& board, const task_ref& task,
+                                         time_point now) const;
+    /// Keeps room for a task that fits nowhere on the worker that is expected to have it first, so
+    /// that smaller tasks do not take each piece of it that becomes free.
+    void reserve_place(const job_board& board, const task_ref& task, time_point now);
     /// Workers that can take the task now. Workers to avoid are left out if any other worker could
     /// run the task, even if that one is busy now.
     /// A task under which workers crashed is placed alone on a worker, which then gets no other
@@ -111,12 +116,15 @@
     table_writer<waiting_rank, task_ref> waiting_tasks_;
     table_writer<task_ref, waiting_rank> waiting_ranks_;
     table_writer<run_id, run_state> runs_;
+    table_writer<run_id, worker_id> refused_stops_;
     table_writer<run_location, run_phase> runs_by_worker_;
     table_writer<worker_id, worker_load> worker_loads_;
     table_writer<worker_id, task_ref> trials_;
     cell_writer<worker_id> reserved_worker_;
     table_writer<queue_name, queue_statistics> run_time_statistics_;
     cell_writer<core_time> queued_work_;
+    cell_writer<demand_sample> recent_demands_;
+    cell_writer<place_reservation> reserved_place_;
 };
 
 /// Whether a worker crashed under the task lately, so that it may only run alone on a worker.
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -95,6 +95,7 @@
     std::int64_t worker_started_at_ms = 0;
     run_phase phase = run_phase::starting;
     time_point start_sent_at{};
+    time_point expected_end{}; ///< from the declared run time and the speed of the worker
     /// When the worker answered the start, or when a stop that it answered has taken effect. A
     /// report that is requested later lists the run unless it has ended.
     time_point confirmed_at = no_deadline;
@@ -102,7 +103,6 @@
     /// does not count as a stall.
     worker_time progress_at;
     std::uint32_t progress_percent = 0;
-    time_point repeat_stop_at = no_deadline; ///< when a stop that was not accepted is sent again
 
     auto operator<=>(const run_state&) const = default;
 };
@@ -115,6 +115,16 @@
     auto operator<=>(const run_location&) const = default;
 };
 
+/// Room that is kept for the first waiting task that fits nowhere.
+struct place_reservation {
+    task_ref task;
+    worker_id worker; ///< empty: no room is kept
+    resources need;
+    time_point available_at{}; ///< when the worker is expected to have the room
+
+    auto operator<=>(const place_reservation&) const = default;
+};
+
 /// Amount of work, in microseconds of one core.
 struct core_time {
     std::int64_t microseconds = 0;
@@ -125,6 +135,9 @@
 /// Run times measured for the tasks of a queue.
 struct queue_statistics {
     double run_time_factor = 1; ///< moving average of measured divided by declared run time
+    /// Moving average of measured run time divided by the declared one and by the slowness of
+    /// workers like the one that was measured.
+    double relative_factor = 1;
 
     auto operator<=>(const queue_statistics&) const = default;
 };
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -70,7 +70,8 @@
         return false;
     }
     const job_step& step = order.job->steps[task.step];
-    const placement_candidate& chosen = candidates[placement_->choose(step, candidates)];
+    const placement_candidate& chosen =
+        candidates[placement_->choose(placement_demand_of(board, task, now), candidates)];
     const worker_id chosen_worker = chosen.entry->id;
     const worker_session& session = *board.sessions.find(chosen_worker);
     const lease_request lease = request_lease(session, lease_length(board.parameters), now);
@@ -82,6 +83,7 @@
                         .need = step.need,
                         .worker_started_at_ms = session.started_at_ms,
                         .start_sent_at = now,
+                        .expected_end = now + chosen.expected_run_time,
                         .progress_at = latest_worker_time(session, now)};
     put_run(id, run);
     if (trial) {
@@ -153,22 +155,23 @@
         put_run(answered.run, run);
         return;
     }
-    run.repeat_stop_at = now + stop_retry_delay;
-    put_run(answered.run, run);
+    refused_stops_.put(answered.run, run.worker, now + stop_retry_delay);
 }
 
 void dispatch_controller::repeat_due_stops(job_board& board, time_point now)
 {
-    while (const auto due = board.runs.expired(now)) {
-        run_state run = *board.runs.find(*due);
-        run.repeat_stop_at = no_deadline;
-        put_run(*due, run);
-        const worker_session* session = board.sessions.find(run.worker);
-        if (session == nullptr || run.phase != run_phase::stopping) {
+    while (const auto due = board.refused_stops.expired(now)) {
+        const run_id id = *due;
+        const worker_id worker = *board.refused_stops.find(id);
+        refused_stops_.erase(id);
+        const run_state* run = board.runs.find(id);
+        const worker_session* session = board.sessions.find(worker);
+        if (run == nullptr || run->worker != worker || run->phase != run_phase::stopping ||
+            session == nullptr) {
             continue;
         }
-        board.outbox.post(stop_run{.to = worker_address_of(board, run.worker, *session),
-                                   .run = *due,
+        board.outbox.post(stop_run{.to = worker_address_of(board, worker, *session),
+                                   .run = id,
                                    .timeout_at = now + run_call_timeout});
     }
 }
@@ -386,7 +389,7 @@
 
 void dispatch_controller::put_run(const run_id& id, const run_state& run)
 {
-    runs_.put(id, run, run.repeat_stop_at);
+    runs_.put(id, run, run.expected_end);
     runs_by_worker_.put({run.worker, id}, run.phase);
 }
 
