Serve sooner after a common restart, and share room across zones

From the logs: workers are ready 0.17 s after the first process runs; 233 calls were refused because the configuration was not read yet and 148 because no dispatcher was known, and came again together a second later. One host took all cells of its zone and gave half of them away at 46.2 s; at 47.8 s the handover timed out, 78 runs were stopped and 42 jobs interrupted.

Calls now wait up to 300 ms for the first configuration, and for a dispatcher while the hosts start and the job can still be in time. A host that starts claims no more than its share of its zone's cells for 600 ms and leaves lapsed claims to their holders for 300 ms. A load is reported at once on a new link and with the first worker. A handover has 2.2 s for the runs that are left.

A refused job goes on to another dispatcher, never to the same one, and after its decision only where places for twice its tasks are free. Delegations are counted by zone, handed-on jobs by reason.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -107,6 +107,7 @@
 
     // written by intake_controller
     cell<delegation_id> last_delegation_id;
+    table<call_id, unmatched_call> unmatched_calls; ///< wait for the first configuration
     table<call_id, accepted_call> calls;
     table<delegation_id, call_id> calls_by_delegation;
 
--- a/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
@@ -25,6 +25,11 @@
 
   private:
     void accept_call(job_board& board, const job_submitted& submitted, time_point now);
+    /// Accepts the calls that came before the first configuration, or refuses those that have
+    /// waited too long for it.
+    void review_unmatched_calls(job_board& board, time_point now);
+    void refuse_unmatched_call(job_board& board, call_id call, refusal_reason reason,
+                               time_point now);
     /// Answers with the number of jobs of a queue that wait at this host.
     void report_queue_length(job_board& board, const queue_length_requested& request);
     void report_or_cancel_job(job_board& board, const job_status_requested& request,
@@ -36,6 +41,11 @@
                                 time_point now);
     /// Delegates the job of a call, or schedules another attempt if no dispatcher accepts jobs.
     void place_call(job_board& board, call_id call, const accepted_call& accepted, time_point now);
+    void delegate_call(job_board& board, call_id call, const accepted_call& accepted,
+                       const dispatcher_candidate& to, time_point now);
+    /// Delegates a job that was refused to another dispatcher, if one has room for it.
+    /// @return false if the refusal is final
+    bool hand_on(job_board& board, call_id call, const accepted_call& accepted, time_point now);
     /// Tells the dispatcher of a call, if there is one, that its job is no longer wanted.
     void cancel_delegation(job_board& board, const accepted_call& accepted);
     void answer_call(job_board& board, call_id call, job_outcome outcome, const char* decided_by,
@@ -44,6 +54,7 @@
     std::shared_ptr<const dispatcher_selection_policy> selection_;
     std::shared_ptr<const job_admission_policy> admission_;
     cell_writer<delegation_id> last_delegation_id_;
+    table_writer<call_id, unmatched_call> unmatched_calls_;
     table_writer<call_id, accepted_call> calls_;
     table_writer<delegation_id, call_id> calls_by_delegation_;
 };
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -332,6 +332,7 @@
 /// This host delegated a job to another dispatcher.
 struct job_delegated {
     host_name to;
+    std::int64_t cpu_millis = 0; ///< demand of its largest step, in thousandths of a core
 };
 
 /// A call extended the lease of a worker's runs.
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "papayafall/core/jobs/values/job.hpp"
+#include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
 #include "papayafall/core/values/time.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace papayafall::jobs {
@@ -135,10 +137,25 @@
     host_name dispatcher;               ///< host that the job is delegated to; empty: none yet
     std::uint32_t attempts = 0;         ///< number of delegations so far
     time_point answer_by = no_deadline; ///< when the caller stops waiting
+    std::vector<host_name> refused_by;  ///< dispatchers that refused the job
+    refusal_reason last_refusal = refusal_reason::none; ///< of those
 
     auto operator<=>(const accepted_call_fields&) const = default;
 };
 
 using accepted_call = value<accepted_call_fields>;
 
+/// A caller's job that came before the host knew the queues.
+struct unmatched_call_fields {
+    std::string hostname;
+    std::string path;
+    job_spec job;
+    time_point received_at;
+    time_point answer_by; ///< when the caller stops waiting
+
+    auto operator<=>(const unmatched_call_fields&) const = default;
+};
+
+using unmatched_call = value<unmatched_call_fields>;
+
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/state/membership_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/membership_state.hpp
@@ -53,10 +53,11 @@
 struct peer_state {
     incarnation_id incarnation;
     bool connected = false;
-    time_point changed_at{};             ///< when the connection was established or lost
-    load_report load;                    ///< as last received
-    std::uint32_t sent_since_report = 0; ///< number of jobs delegated to it after its last report
-    time_point keep_until{};             ///< when the link may be closed unless jobs depend on it
+    time_point changed_at{};          ///< when the connection was established or lost
+    load_report load;                 ///< as last received
+    time_point reported_at{};         ///< when it was received
+    std::int64_t sent_cpu_millis = 0; ///< demand of the jobs delegated to it after that report
+    time_point keep_until{};          ///< when the link may be closed unless jobs depend on it
 
     auto operator<=>(const peer_state&) const = default;
 };
--- a/packages/core/src/jobs/controllers/cell_controller.cpp
+++ b/packages/core/src/jobs/controllers/cell_controller.cpp
@@ -29,14 +29,15 @@
 /// Time after the last change of a claim, or after the store was reached, before a better placed
 /// host claims the cell from its live holder.
 constexpr duration handover_request_delay = milliseconds(1000);
-/// Time within which the holder of a listed claim has to be listed itself.
+/// Time within which the holder of a listed claim has to be listed itself, and hosts that start
+/// together have to list themselves.
 constexpr duration holder_listing_grace = milliseconds(300);
 /// Time after which a claim without an answer is sent again.
 constexpr duration claim_timeout = milliseconds(1500);
 /// Time for which the workers are followed after a claim was last intended.
 constexpr duration worker_follow_time = milliseconds(5000);
 /// Time that a previous holder has to end the runs on the workers that it releases.
-constexpr duration release_timeout = milliseconds(1500);
+constexpr duration release_timeout = milliseconds(2200);
 /// Time after which a leaving host releases the cells that no other host has claimed.
 constexpr duration unclaimed_release_delay = milliseconds(1500);
 
@@ -98,6 +99,21 @@
     return own_cells > holder_cells || (own_cells == holder_cells && own_cells > 0 && preferred);
 }
 
+/// Whether a host of this zone holds its share of the zone's cells, or claims the last of it.
+bool has_share(const job_board& board, const host_name& host, const zone_claim_order& order)
+{
+    const zone_name& zone = board.self.zone;
+    const std::size_t share =
+        (board.parameters.cells_per_zone + order.wanted_count - 1) / order.wanted_count;
+    std::size_t n = count_claimed_cells(board, host, zone);
+    if (host == board.self.host) {
+        n += static_cast<std::size_t>(
+            std::count_if(board.pending_claims.begin(), board.pending_claims.end(),
+                          [&](const auto& it) { return zone_of(it.key) == zone; }));
+    }
+    return n >= share;
+}
+
 bool has_workers(const job_board& board, const cell_id& cell)
 {
     for (const auto& it : board.workers) {
@@ -190,6 +206,8 @@
         return;
     }
     const bool own_zone = zone == board.self.zone;
+    // Hosts that started at the same time may not be listed before.
+    const time_point listing_complete_at = board.lifecycle->store_reached_at + holder_listing_grace;
     time_point delay_start = board.lifecycle->store_reached_at;
     bool holder_leaving = false;
     if (known != nullptr) {
@@ -205,13 +223,22 @@
             }
         } else if (known->listed) {
             delay_start += holder_listing_grace;
+        } else if (known->claim.holder != board.self.host) {
+            // After a common outage the former holder may be about to take its cell back.
+            delay_start = std::max(delay_start, listing_complete_at);
         }
     }
     const zone_claim_order order = make_claim_order(board, zone);
+    const bool starting = own_zone && now < listing_complete_at + claim_stagger;
+    if (starting && (order.is_spare(number) || has_share(board, board.self.host, order))) {
+        return;
+    }
     if (order.has_hosts_in_zone || (!own_zone && !has_workers(board, cell))) {
         return;
     }
-    const auto position = static_cast<std::int64_t>(order.claim_position(board.self.host, number));
+    const bool goes_first = starting && has_share(board, order.preferred_holder(number), order);
+    const auto position =
+        goes_first ? 0 : static_cast<std::int64_t>(order.claim_position(board.self.host, number));
     if (holder_leaving && known->listed && position > 0) {
         return; // the first one claims now; if it does not, the holder releases the cell
     }
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -19,7 +19,17 @@
 /// Time after which a refused caller may submit its job again.
 constexpr duration refused_retry_delay = std::chrono::seconds(1);
 /// Number of times that a job is delegated before it is refused.
-constexpr std::uint32_t max_delegation_attempts = 2;
+constexpr std::uint32_t max_delegation_attempts = 3;
+/// Multiple of a job's tasks for which a dispatcher reports free places when it is given a job that
+/// another one could not start in time. Other hosts may take some of them meanwhile.
+constexpr std::uint32_t handover_place_reserve = 2;
+/// Longest time for which a call waits for the first configuration.
+constexpr duration configuration_wait = std::chrono::milliseconds(300);
+/// Time after the store was reached within which dispatchers claim their cells, take over the
+/// workers and report their load.
+constexpr duration dispatcher_start_time = std::chrono::milliseconds(1000);
+/// Time between two attempts to find a dispatcher.
+constexpr duration placement_retry_delay = std::chrono::milliseconds(20);
 /// Multiple of the objective after which an answer is no longer useful.
 constexpr int useful_objective_multiple = 3;
 
@@ -60,13 +70,50 @@
     };
 }
 
+/// Whether dispatchers may still be starting, or be unknown to this host because it has started.
+bool dispatcher_expected(const job_board& board, time_point now)
+{
+    const time_point reached_at = board.lifecycle->store_reached_at;
+    return reached_at == time_point{} || now < reached_at + dispatcher_start_time;
+}
+
+/// Linked dispatchers, this host's own among them, that have not refused the job.
+std::vector<dispatcher_candidate>
+dispatcher_candidates(const job_board& board, const accepted_call_fields& accepted, time_point now)
+{
+    const auto has_refused = [&](const host_name& it) {
+        return std::find(accepted.refused_by.begin(), accepted.refused_by.end(), it) !=
+               accepted.refused_by.end();
+    };
+    std::vector<dispatcher_candidate> candidates;
+    if (!board.held_cells.empty() && !has_refused(board.self.host)) {
+        candidates.push_back({.host = board.self.host,
+                              .same_zone = true,
+                              .load = own_load(board),
+                              .reported_at = now});
+    }
+    for (const auto& it : board.peers) {
+        if (!it.value.connected || has_refused(it.key)) {
+            continue;
+        }
+        const host_entry* entry = board.hosts.find(it.key);
+        candidates.push_back({.host = it.key,
+                              .same_zone = entry != nullptr && entry->zone == board.self.zone,
+                              .load = it.value.load,
+                              .reported_at = it.value.reported_at,
+                              .sent_cpu_millis = it.value.sent_cpu_millis});
+    }
+    return candidates;
+}
+
 } // namespace
 
 intake_controller::intake_controller(job_board& board,
                                      std::shared_ptr<const dispatcher_selection_policy> selection,
                                      std::shared_ptr<const job_admission_policy> admission)
     : selection_(std::move(selection)), admission_(std::move(admission)),
-      last_delegation_id_(board.last_delegation_id.claim()), calls_(board.calls.claim()),
+      last_delegation_id_(board.last_delegation_id.claim()),
+      unmatched_calls_(board.unmatched_calls.claim()), calls_(board.calls.claim()),
       calls_by_delegation_(board.calls_by_delegation.claim())
 {
 }
@@ -99,6 +146,7 @@
 
 void intake_controller::on_tick(job_board& board, const clock_reading& now)
 {
+    review_unmatched_calls(board, now.steady);
     while (const auto due = board.calls.expired(now.steady)) {
         const accepted_call call = *board.calls.find(*due);
         if (!call->dispatcher.empty()) {
@@ -109,7 +157,9 @@
             continue;
         }
         const bool undecided = now.steady < admission_->decision_deadline(*call->order);
-        if (undecided) {
+        const bool in_time = now.steady + critical_path_duration(*call->order->job) <
+                             call->order->objective_deadline;
+        if (undecided || (in_time && dispatcher_expected(board, now.steady))) {
             place_call(board, *due, call, now.steady);
         } else {
             answer_call(board, *due, job_outcome::refused, "no_dispatcher", now.steady);
@@ -137,9 +187,13 @@
         return;
     }
     if (configuration.version == 0) {
-        board.outbox.post(log_decision{"job_refused", id, {{"reason", "no_configuration"}}});
-        board.outbox.post(
-            answer_job{submitted.call, job_outcome::refused, now + refused_retry_delay, now});
+        unmatched_calls_.put(submitted.call,
+                             unmatched_call_fields{.hostname = submitted.hostname,
+                                                   .path = submitted.path,
+                                                   .job = submitted.job,
+                                                   .received_at = submitted.received_at,
+                                                   .answer_by = submitted.answer_by},
+                             std::min(now + configuration_wait, submitted.answer_by));
         return;
     }
     const queue_definition* queue = configuration.match(submitted.hostname, submitted.path);
@@ -165,46 +219,115 @@
                now);
 }
 
-void intake_controller::place_call(job_board& board, call_id call, const accepted_call& accepted,
-                                   time_point now)
+void intake_controller::review_unmatched_calls(job_board& board, time_point now)
 {
-    std::vector<dispatcher_candidate> candidates;
-    if (const load_report own = own_load(board); own.accepting) {
-        candidates.push_back({.host = board.self.host, .same_zone = true, .load = own});
-    }
-    for (const auto& it : board.peers) {
-        if (!it.value.connected) {
-            continue;
+    if ((*board.configuration)->version == 0) {
+        while (const auto due = board.unmatched_calls.expired(now)) {
+            refuse_unmatched_call(board, *due, refusal_reason::no_configuration, now);
         }
-        const host_entry* entry = board.hosts.find(it.key);
-        candidates.push_back({.host = it.key,
-                              .same_zone = entry != nullptr && entry->zone == board.self.zone,
-                              .load = it.value.load,
-                              .sent_since_report = it.value.sent_since_report});
+        return;
     }
-    const auto chosen = selection_->choose(candidates);
+    std::vector<job_submitted> waiting;
+    for (const auto& it : board.unmatched_calls) {
+        waiting.push_back({.call = it.key,
+                           .hostname = it.value->hostname,
+                           .path = it.value->path,
+                           .job = it.value->job,
+                           .received_at = it.value->received_at,
+                           .answer_by = it.value->answer_by});
+    }
+    for (const job_submitted& it : waiting) {
+        unmatched_calls_.erase(it.call);
+        accept_call(board, it, now);
+    }
+}
+
+void intake_controller::refuse_unmatched_call(job_board& board, call_id call, refusal_reason reason,
+                                              time_point now)
+{
+    const unmatched_call refused = *board.unmatched_calls.find(call);
+    board.outbox.post(
+        log_decision{"job_refused", refused->job->id.text(), {{"reason", to_string(reason)}}});
+    board.outbox.post(
+        answer_job{call, job_outcome::refused, now + refused_retry_delay, refused->received_at});
+    unmatched_calls_.erase(call);
+}
+
+void intake_controller::place_call(job_board& board, call_id call, const accepted_call& accepted,
+                                   time_point now)
+{
+    const dispatch_demand demand = demand_of(*accepted->order->job);
+    const auto candidates = dispatcher_candidates(board, *accepted, now);
+    const auto chosen = selection_->choose(demand, candidates, now);
     if (!chosen) {
-        constexpr duration placement_retry_delay = std::chrono::milliseconds(20);
         calls_.put(call, accepted, now + placement_retry_delay);
         return;
     }
-    const host_name& to = candidates[*chosen].host;
+    delegate_call(board, call, accepted, candidates[*chosen], now);
+}
+
+void intake_controller::delegate_call(job_board& board, call_id call, const accepted_call& accepted,
+                                      const dispatcher_candidate& to, time_point now)
+{
+    if (!accepted->refused_by.empty()) {
+        board.outbox.post(
+            log_decision{"job_handed_on",
+                         accepted->order->job->id.text(),
+                         {{"reason", to_string(accepted->last_refusal)},
+                          {"from", accepted->refused_by.back().text()},
+                          {"to", to.host.text()},
+                          {"same_zone", to.same_zone ? "1" : "0"},
+                          {"ms", milliseconds_of(now - accepted->order->received_at)}}});
+    }
     const delegation_id delegation = board.last_delegation_id->next();
     last_delegation_id_.put(delegation);
     calls_by_delegation_.put(delegation, call);
     const auto placed = accepted.with([&](accepted_call_fields& it) {
         it.delegation = delegation;
-        it.dispatcher = to;
+        it.dispatcher = to.host;
         ++it.attempts;
     });
     calls_.put(call, placed, placed->answer_by + caller_deadline_grace);
-    if (to == board.self.host) {
+    if (to.host == board.self.host) {
         board.raised.post(
             delegation_received{{.link = {}, .delegation = delegation}, accepted->order});
-    } else {
-        board.outbox.post(delegate_job{to, delegation, accepted->order});
-        board.raised.post(job_delegated{to});
+        return;
+    }
+    board.outbox.post(delegate_job{.to = to.host,
+                                   .delegation = delegation,
+                                   .order = accepted->order,
+                                   .same_zone = to.same_zone,
+                                   .previous_refusal = accepted->last_refusal,
+                                   .handed_on = !accepted->refused_by.empty()});
+    const dispatch_demand demand = demand_of(*accepted->order->job);
+    board.raised.post(job_delegated{to.host, demand.cpu_millis * demand.tasks});
+}
+
+bool intake_controller::hand_on(job_board& board, call_id call, const accepted_call& accepted,
+                                time_point now)
+{
+    if (accepted->attempts >= max_delegation_attempts) {
+        return false;
     }
+    const job_order_fields& order = *accepted->order;
+    const dispatch_demand demand = demand_of(*order.job);
+    auto candidates = dispatcher_candidates(board, *accepted, now);
+    if (now >= admission_->decision_deadline(order)) {
+        // The caller learns of a refusal later than it should: only a dispatcher that can start
+        // the job at once is worth that.
+        std::erase_if(candidates, [&](const dispatcher_candidate& it) {
+            return free_places(it, demand, now) < handover_place_reserve * demand.tasks;
+        });
+        if (now + critical_path_duration(*order.job) >= order.objective_deadline) {
+            return false;
+        }
+    }
+    const auto chosen = selection_->choose(demand, candidates, now);
+    if (!chosen) {
+        return false;
+    }
+    delegate_call(board, call, accepted, candidates[*chosen], now);
+    return true;
 }
 
 void intake_controller::report_queue_length(job_board& board, const queue_length_requested& request)
@@ -256,6 +379,10 @@
 
 void intake_controller::abandon_call(job_board& board, call_id call, time_point now)
 {
+    if (board.unmatched_calls.contains(call)) {
+        unmatched_calls_.erase(call);
+        return;
+    }
     const accepted_call* found = board.calls.find(call);
     if (found == nullptr) {
         return;
@@ -286,6 +413,13 @@
 
 void intake_controller::interrupt_all_calls(job_board& board, time_point now)
 {
+    std::vector<call_id> unmatched;
+    for (const auto& it : board.unmatched_calls) {
+        unmatched.push_back(it.key);
+    }
+    for (const call_id it : unmatched) {
+        refuse_unmatched_call(board, it, refusal_reason::stopping, now);
+    }
     std::vector<call_id> open;
     for (const auto& it : board.calls) {
         open.push_back(it.key);
@@ -305,11 +439,25 @@
     }
     const call_id call = *found;
     const accepted_call accepted = *board.calls.find(call);
-    if (answered.outcome == job_outcome::refused && accepted->attempts < max_delegation_attempts &&
-        now < admission_->decision_deadline(*accepted->order)) {
+    if (answered.outcome != job_outcome::refused) {
+        answer_call(board, call, answered.outcome, "dispatcher", now);
+        return;
+    }
+    const auto refused = accepted.with([&](accepted_call_fields& it) {
+        it.last_refusal = answered.refusal.reason;
+        it.refused_by.push_back(it.dispatcher);
+        it.dispatcher = {};
+    });
+    const bool undecided = now < admission_->decision_deadline(*accepted->order);
+    if (answered.refusal.reason == refusal_reason::dispatcher_unlinked && undecided) {
+        // The loss of the link is reported next, and then another dispatcher is chosen.
+        calls_by_delegation_.erase(answered.delegation);
+        calls_.put(call, accepted.with([](accepted_call_fields& it) { it.dispatcher = {}; }),
+                   now + placement_retry_delay);
+        return;
+    }
+    if (hand_on(board, call, refused, now)) {
         calls_by_delegation_.erase(answered.delegation);
-        place_call(board, call, accepted.with([](accepted_call_fields& it) { it.dispatcher = {}; }),
-                   now);
         return;
     }
     answer_call(board, call, answered.outcome, "dispatcher", now);
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -139,7 +139,8 @@
         if (const peer_state* known = board.peers.find(it->host)) {
             peer_state state = *known;
             state.load = it->load;
-            state.sent_since_report = 0;
+            state.reported_at = now.steady;
+            state.sent_cpu_millis = 0;
             peers_.put(it->host, state);
         }
     }
@@ -150,13 +151,19 @@
             board.outbox.post(answer_delegation{it->origin, it->outcome, it->refusal});
         }
     }
+    // A host that has just connected knows no load, and one without a dispatcher waits for it.
+    const bool has_first_worker = std::holds_alternative<report_received>(incoming) &&
+                                  !board.published_load->accepting && !board.lifecycle->leaving;
+    if (std::holds_alternative<delegator_connected>(incoming) || has_first_worker) {
+        load_report_due_.put(now.steady);
+    }
     if (std::holds_alternative<process_resumed>(incoming)) {
         board.outbox.post(close_links{});
     }
     if (const auto* it = std::get_if<job_delegated>(&incoming)) {
         if (const peer_state* known = board.peers.find(it->to)) {
             peer_state state = *known;
-            ++state.sent_since_report;
+            state.sent_cpu_millis += it->cpu_millis;
             peers_.put(it->to, state);
         }
     }
--- a/packages/core/src/jobs/controllers/zone_claim_order.cpp
+++ b/packages/core/src/jobs/controllers/zone_claim_order.cpp
@@ -12,18 +12,24 @@
 /// Number of workers for each host that shares the cells of a zone.
 constexpr std::ptrdiff_t workers_per_sharing_host = 64;
 
-/// Number of hosts that share the cells of a zone. It grows with the number of workers; hosts that
-/// are much weaker than the first claimant are left out.
-std::size_t count_sharing_hosts(const job_board& board, const zone_name& zone,
-                                const std::vector<claimant>& claimants)
+/// Number of hosts that the workers of a zone call for.
+std::size_t count_wanted_hosts(const job_board& board, const zone_name& zone)
 {
     const auto workers = std::count_if(board.workers.begin(), board.workers.end(),
                                        [&](const auto& it) { return (*it.value).zone == zone; });
+    const auto wanted = (workers + workers_per_sharing_host - 1) / workers_per_sharing_host;
+    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, wanted));
+}
+
+/// Number of hosts that share the cells of a zone. Hosts that are much weaker than the first
+/// claimant are left out.
+/// @param wanted number of hosts that the workers call for
+std::size_t count_sharing_hosts(std::size_t wanted, const std::vector<claimant>& claimants)
+{
     const auto strong = std::count_if(claimants.begin(), claimants.end(), [&](const claimant& it) {
         return it.cpu_millis * stronger_host_cpu_ratio > claimants.front().cpu_millis;
     });
-    const auto wanted = (workers + workers_per_sharing_host - 1) / workers_per_sharing_host;
-    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(1, std::min(wanted, strong)));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(strong), 1, wanted);
 }
 
 } // namespace
@@ -57,7 +63,8 @@
         }
     }
     std::sort(order.claimants.begin(), order.claimants.end(), std::greater<>());
-    order.sharing_count = count_sharing_hosts(board, zone, order.claimants);
+    order.wanted_count = count_wanted_hosts(board, zone);
+    order.sharing_count = count_sharing_hosts(order.wanted_count, order.claimants);
     return order;
 }
 
--- a/packages/core/src/jobs/controllers/zone_claim_order.hpp
+++ b/packages/core/src/jobs/controllers/zone_claim_order.hpp
@@ -24,6 +24,7 @@
 struct zone_claim_order {
     std::vector<claimant> claimants; ///< in the order in which they claim
     std::size_t sharing_count = 1;   ///< number of first claimants that share the cells
+    std::size_t wanted_count = 1;    ///< as `sharing_count`, if enough hosts were known
     bool has_hosts_in_zone = false;  ///< the zone has hosts, and this host is in another zone
 
     auto operator<=>(const zone_claim_order&) const = default;
@@ -33,6 +34,12 @@
         return claimants[cell % sharing_count].host;
     }
 
+    /// Whether the cell is meant for a host that is not known yet.
+    bool is_spare(std::uint32_t cell) const
+    {
+        return claimants.size() < wanted_count && cell % wanted_count >= claimants.size();
+    }
+
     /// Number of hosts that claim a cell before `host` does.
     std::size_t claim_position(const host_name& host, std::uint32_t cell) const;
 };
--- a/packages/core/tests/jobs/unit-worker_cells.cpp
+++ b/packages/core/tests/jobs/unit-worker_cells.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <string>
+
 namespace papayafall::jobs {
 
 namespace {
@@ -20,6 +22,8 @@
     CPPUNIT_TEST(a_lapsed_claim_of_a_linked_holder_is_not_replaced);
     CPPUNIT_TEST(a_cell_of_a_dead_holder_is_taken_over);
     CPPUNIT_TEST(a_restarted_host_reclaims_its_cell_at_once);
+    CPPUNIT_TEST(a_cell_that_lapsed_in_a_common_outage_is_left_to_its_holder_at_first);
+    CPPUNIT_TEST(cells_of_hosts_that_start_later_are_not_claimed_at_first);
     CPPUNIT_TEST(a_cell_of_another_zone_is_claimed_only_without_hosts_there);
     CPPUNIT_TEST(runs_of_a_former_holder_are_stopped_before_leases_are_extended);
     CPPUNIT_TEST(a_stronger_host_claims_the_cell_of_a_weak_live_holder);
@@ -108,6 +112,34 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, claims[0].expected.value());
     }
 
+    void a_cell_that_lapsed_in_a_common_outage_is_left_to_its_holder_at_first()
+    {
+        list_own_host();
+        fixture_->deliver(claim_listed{job_fixture::own_cell(),
+                                       {.holder = other_host,
+                                        .incarnation = other_incarnation,
+                                        .revision = store_revision(3)}});
+        fixture_->deliver(claim_unlisted{job_fixture::own_cell()});
+        fixture_->advance(milliseconds(250));
+        CPPUNIT_ASSERT(fixture_->take_actions<claim_cell>().empty());
+        fixture_->advance(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<claim_cell>().size());
+    }
+
+    /// Load: 100 workers, which call for two hosts; one is listed.
+    void cells_of_hosts_that_start_later_are_not_claimed_at_first()
+    {
+        fixture_ = std::make_unique<job_fixture>(job_parameters{.cells_per_zone = 4});
+        for (int n = 0; n < 100; ++n) {
+            fixture_->deliver(worker_listed{job_fixture::make_worker("w-" + std::to_string(n))});
+        }
+        list_own_host();
+        fixture_->advance(milliseconds(250));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture_->take_actions<claim_cell>().size());
+        fixture_->advance(milliseconds(450));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture_->take_actions<claim_cell>().size());
+    }
+
     void a_cell_of_another_zone_is_claimed_only_without_hosts_there()
     {
         fixture_->acquire_cell();
--- a/packages/core/tests/support/job_fixture.hpp
+++ b/packages/core/tests/support/job_fixture.hpp
@@ -18,14 +18,14 @@
   public:
     static constexpr std::int64_t host_cpu_millis = 400;
 
-    job_fixture()
+    explicit job_fixture(const jobs::job_parameters& parameters = {})
         : engine_(
               jobs::make_job_engine({.host = host_name("entry-1"),
                                      .zone = zone_name("zone-a"),
                                      .incarnation = incarnation_id(1),
                                      .platform_zones = {zone_name("zone-a"), zone_name("zone-b")},
                                      .cpu_millis = host_cpu_millis},
-                                    jobs::job_parameters(), jobs::standard_job_policies()))
+                                    parameters, jobs::standard_job_policies()))
     {
     }
 
