--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -162,15 +162,15 @@
 {
     while (const auto due = board.refused_stops.expired(now)) {
         const run_id id = *due;
-        const worker_id worker = *board.refused_stops.find(id);
+        const worker_id called = *board.refused_stops.find(id);
         refused_stops_.erase(id);
         const run_state* run = board.runs.find(id);
-        const worker_session* session = board.sessions.find(worker);
-        if (run == nullptr || run->worker != worker || run->phase != run_phase::stopping ||
+        const worker_session* session = board.sessions.find(called);
+        if (run == nullptr || run->worker != called || run->phase != run_phase::stopping ||
             session == nullptr) {
             continue;
         }
-        board.outbox.post(stop_run{.to = worker_address_of(board, worker, *session),
+        board.outbox.post(stop_run{.to = worker_address_of(board, called, *session),
                                    .run = id,
                                    .timeout_at = now + run_call_timeout});
     }
