Let jobs that cost callers least give way when room is short

Callers saw: in a crest, jobs were admitted, waited past a quarter of their objective and were then refused, or ran late, because a job that came later went before them. A new job that costs its caller more to lose was refused while a cheaper one waited.

Nothing took a waiting job back, and a job that could no longer be in time stayed at the head of the queue until its answer was useless.

Change: waiting jobs have a section of their own, by service and latest start. least_cost_admission plans the starts of all of them with the new job; if one would be late, the cheapest set of young jobs yields, or the new one is refused at once. A job keeps its place from its decision deadline on, and one of which a task was started is never refused. The plan is checked without a new job every 10 ms, for lost workers. Refused callers are told different instants to return. Tasks of started jobs go first.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -7,6 +7,7 @@
 #include "papayafall/core/engine/engine.hpp"
 #include "papayafall/core/jobs/messages/job_action.hpp"
 #include "papayafall/core/jobs/messages/job_event.hpp"
+#include "papayafall/core/jobs/state/admission_share.hpp"
 #include "papayafall/core/jobs/state/job_state.hpp"
 #include "papayafall/core/jobs/state/lifecycle_state.hpp"
 #include "papayafall/core/jobs/state/membership_state.hpp"
@@ -118,6 +119,13 @@
     table<task_ref, task_state> tasks;
     table<waiting_rank, task_ref> waiting_tasks;
     table<task_ref, waiting_rank> waiting_ranks; ///< index of `waiting_tasks`
+    /// Jobs of which no task was started, in the order in which they get room.
+    table<waiting_job_rank, waiting_job> waiting_jobs;
+    table<job_number, waiting_job_rank> waiting_job_ranks; ///< index of `waiting_jobs`
+    table<service_name, service_backlog> backlogs;
+    cell<time_point> queue_review_due;
+    table<queue_name, queue_admissions> admissions_by_queue;
+    cell<admission_share> admissions; ///< of all queues together
     table<run_id, run_state> runs;
     table<run_location, run_phase> runs_by_worker; ///< index of `runs`
     table<worker_id, worker_load> worker_loads;
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -2,6 +2,7 @@
 
 #include "papayafall/core/jobs/board/job_board.hpp"
 #include "papayafall/core/jobs/policies/admission.hpp"
+#include "papayafall/core/jobs/policies/job_cost.hpp"
 #include "papayafall/core/jobs/policies/placement_policy.hpp"
 
 #include <functional>
@@ -19,7 +20,8 @@
 class dispatch_controller : public job_controller {
   public:
     dispatch_controller(job_board& board, std::shared_ptr<const placement_policy> placement,
-                        std::shared_ptr<const job_admission_policy> admission);
+                        std::shared_ptr<const job_admission_policy> admission,
+                        std::shared_ptr<const job_cost_policy> cost);
 
     std::string_view name() const noexcept override { return "dispatch"; }
 
@@ -29,11 +31,9 @@
   private:
     // jobs
     void accept_job(job_board& board, const delegation_received& received, time_point now);
-    /// Outcome with which a job that has not started is to be refused, or empty.
-    std::optional<job_outcome> refusal_outcome(job_board& board, const job_order_fields& order,
-                                               time_point now) const;
     /// Answers a job, drops its waiting tasks and stops its runs.
-    void finish_job(job_board& board, job_number number, job_outcome outcome, time_point now);
+    void finish_job(job_board& board, job_number number, job_outcome outcome, time_point now,
+                    const job_refusal& refusal = {});
     /// Changes a job that has started or has been answered, and sets the time of its next review.
     void update_job(job_board& board, job_number number, time_point now,
                     const std::function<void(job_state_fields&)>& change);
@@ -44,13 +44,41 @@
     void interrupt_all_jobs(job_board& board, time_point now);
     /// Ends the waiting jobs of a host without workers, except those that may still be admitted.
     void end_jobs_without_workers(job_board& board, time_point now);
-    /// Decides whether jobs that are due for review go on waiting.
+    /// Reviews the jobs whose decision deadline or last useful start has come.
     void review_due_jobs(job_board& board, time_point now);
+    void review_unstarted_job(job_board& board, job_number number, time_point now);
+
+    // admission
+    /// Decides about a new job, and refuses the waiting jobs that yield to it.
+    admission_decision admit(job_board& board, const job_order_fields& order,
+                             const job_request& request, time_point now);
+    job_request make_request(const job_board& board, const job_order_fields& order,
+                             time_point now) const;
+    /// Adds a job to those of which no task was started.
+    void add_waiting_job(job_board& board, job_number number, const job_request& request);
+    /// Removes a job from them, when it starts or is answered.
+    /// @return its entry; empty if it was none of them
+    std::optional<waiting_job> remove_waiting_job(job_board& board, job_number number);
+    /// Refuses the jobs that have to yield so that others can meet their objectives.
+    void review_queues(job_board& board, time_point now);
+    void review_queue(job_board& board, const service_name& service, time_point now);
+    /// Refuses a job of which no task was started.
+    void refuse_job(job_board& board, job_number number, refusal_reason reason, time_point now);
+    /// Counts a job that was started or refused in the share of its queue.
+    void record_admission(job_board& board, const queue_name& queue, core_time work, bool started,
+                          time_point now);
+    core_time expected_work(const job_board& board, const job_order_fields& order) const;
+    /// Expected length of the job's critical path.
+    duration expected_job_run_time(const job_board& board, const job_order_fields& order) const;
+    void change_backlog(job_board& board, const service_name& service, core_time started,
+                        core_time unstarted);
 
     // tasks
     void enqueue_step(job_board& board, job_number number, std::uint32_t step);
     void enqueue_task(job_board& board, const task_ref& task);
     void dequeue_task(job_board& board, const task_ref& task);
+    /// Moves the waiting tasks of a job to the group of started jobs.
+    void promote_tasks(job_board& board, job_number number);
     void start_waiting_tasks(job_board& board, time_point now);
     /// Starts a run of a waiting task on a worker.
     /// @return false if no worker can take it now
@@ -102,6 +130,7 @@
 
     std::shared_ptr<const placement_policy> placement_;
     std::shared_ptr<const job_admission_policy> admission_;
+    std::shared_ptr<const job_cost_policy> cost_;
     cell_writer<job_number> last_job_number_;
     table_writer<job_number, job_state> jobs_;
     table_writer<job_id, job_number> jobs_by_id_;
@@ -116,6 +145,12 @@
     cell_writer<worker_id> reserved_worker_;
     table_writer<queue_name, queue_statistics> run_time_statistics_;
     cell_writer<core_time> queued_work_;
+    table_writer<waiting_job_rank, waiting_job> waiting_jobs_;
+    table_writer<job_number, waiting_job_rank> waiting_job_ranks_;
+    table_writer<service_name, service_backlog> backlogs_;
+    cell_writer<time_point> queue_review_due_;
+    table_writer<queue_name, queue_admissions> admissions_by_queue_;
+    cell_writer<admission_share> admissions_;
 };
 
 /// Whether a worker crashed under the task lately, so that it may only run alone on a worker.
--- a/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
@@ -38,8 +38,9 @@
     void place_call(job_board& board, call_id call, const accepted_call& accepted, time_point now);
     /// Tells the dispatcher of a call, if there is one, that its job is no longer wanted.
     void cancel_delegation(job_board& board, const accepted_call& accepted);
+    /// @param refusal why the job was refused, as the dispatcher told it
     void answer_call(job_board& board, call_id call, job_outcome outcome, const char* decided_by,
-                     time_point now);
+                     time_point now, const job_refusal& refusal = {});
 
     std::shared_ptr<const dispatcher_selection_policy> selection_;
     std::shared_ptr<const job_admission_policy> admission_;
--- a/packages/core/include/papayafall/core/jobs/engine/job_engine.hpp
+++ b/packages/core/include/papayafall/core/jobs/engine/job_engine.hpp
@@ -3,6 +3,7 @@
 #include "papayafall/core/jobs/board/job_board.hpp"
 #include "papayafall/core/jobs/policies/admission.hpp"
 #include "papayafall/core/jobs/policies/dispatcher_selection.hpp"
+#include "papayafall/core/jobs/policies/job_cost.hpp"
 #include "papayafall/core/jobs/policies/placement_policy.hpp"
 #include "papayafall/core/jobs/policies/worker_ejection.hpp"
 
@@ -14,6 +15,7 @@
 struct job_policies {
     std::shared_ptr<const placement_policy> placement;
     std::shared_ptr<const job_admission_policy> admission;
+    std::shared_ptr<const job_cost_policy> cost;
     std::shared_ptr<const dispatcher_selection_policy> selection;
     std::shared_ptr<const worker_ejection_policy> ejection;
 };
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -38,6 +38,7 @@
     std::uint32_t waiting = 0;                   ///< number of tasks that may start
     std::uint32_t active_runs = 0; ///< number of runs that are not known to have ended
     std::uint32_t starts_sent = 0; ///< number of starts that were sent to workers
+    time_point expected_start{};   ///< of its last task, as foretold at its admission
     time_point started_at{};       ///< when the first start was sent
     bool started = false;          ///< whether a start was sent
     bool closing = false;          ///< the job is answered and its last runs are being stopped
@@ -57,21 +58,15 @@
     auto operator<=>(const task_state&) const = default;
 };
 
-/// Priority class of a waiting task; earlier classes go first.
+/// Class of a waiting task; earlier classes go first.
 enum class waiting_group : std::uint8_t {
-    urgent_started, ///< queue of the highest priority, and a task of the job was started before
-    urgent,         ///< queue of the highest priority
-    other_started,  ///< a task of the job was started before
-    other,
+    started, ///< a task of the job was started before; the job ends with its last task
+    unstarted,
 };
 
-/// Priority class of the waiting tasks of a job.
-/// @param started whether a task of the job was started before
-waiting_group waiting_group_of(const job_order_fields& order, bool started) noexcept;
-
 /// Sort key of the waiting tasks; the smallest is offered to the workers first.
 struct waiting_rank {
-    waiting_group group = waiting_group::other;
+    waiting_group group = waiting_group::unstarted;
     time_point start_by; ///< latest start that lets the job meet its objective
     task_ref task;
 
@@ -121,6 +116,34 @@
     auto operator<=>(const core_time&) const = default;
 };
 
+/// Sort key of the jobs of a service of which no task was started.
+struct waiting_job_rank {
+    service_name service;
+    time_point start_by; ///< latest start that lets the job meet its objective
+    job_number job;
+
+    auto operator<=>(const waiting_job_rank&) const = default;
+};
+
+/// A job of which no task was started.
+struct waiting_job {
+    queue_name queue;
+    core_time work;           ///< expected work of all its tasks
+    double cost = 0;          ///< as estimated by `job_cost_policy`
+    time_point kept_from;     ///< from this instant on it does not yield to other jobs
+    bool underserved = false; ///< its queue, or its size of job, had got too little room
+
+    auto operator<=>(const waiting_job&) const = default;
+};
+
+/// Work that waits for the workers of a service.
+struct service_backlog {
+    core_time started;   ///< waiting tasks of jobs that have started
+    core_time unstarted; ///< jobs of which no task was started
+
+    auto operator<=>(const service_backlog&) const = default;
+};
+
 /// Run times measured for the tasks of a queue.
 struct queue_statistics {
     double run_time_factor = 1; ///< moving average of measured divided by declared run time
--- a/packages/core/src/jobs/board/job_board.cpp
+++ b/packages/core/src/jobs/board/job_board.cpp
@@ -38,6 +38,12 @@
         ensure(job != nullptr && !(*job)->closing,
                "each waiting task belongs to a job that is not closing");
     }
+    ensure(waiting_jobs.size() == waiting_job_ranks.size(), "each waiting job has one rank");
+    for (const auto& it : waiting_job_ranks) {
+        const job_state* job = jobs.find(it.key);
+        ensure(job != nullptr && !(*job)->started && !(*job)->closing,
+               "no task of a waiting job was started");
+    }
     for (const auto& it : worker_loads) {
         ensure(used[it.key] == it.value, "the load of a worker is the sum of its runs");
     }
--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -1,109 +1,304 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
-#include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "place_forecast.hpp"
+
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
+#include "papayafall/core/jobs/policies/retry_time.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
-#include <tuple>
+#include <utility>
 
 namespace papayafall::jobs {
 
 namespace {
 
-/// @param work_ahead       work that goes first, in thousandths of a core times microseconds
-/// @param missing_cpu_millis capacity that the job needs and that is not free
-duration expected_wait(std::int64_t work_ahead, std::int64_t missing_cpu_millis, duration run_time,
-                       std::int64_t total_cpu_millis)
-{
-    // In floating point, because the product of valid numbers may exceed 64 bits.
-    const double work = static_cast<double>(work_ahead) + static_cast<double>(missing_cpu_millis) *
-                                                              static_cast<double>(run_time.count());
-    const double wait = work / static_cast<double>(total_cpu_millis);
-    return duration(
-        static_cast<std::int64_t>(std::min(wait, static_cast<double>(max_run_time.count()))));
-}
+/// Waiting jobs that a decision looks at one by one; those behind them count as a sum.
+constexpr std::size_t max_examined_jobs = 256;
+/// Time between two reviews of the queues.
+constexpr duration queue_review_period = std::chrono::milliseconds(10);
+/// Part of a service's capacity that runs tasks when many wait. The rest lies on the workers in
+/// pieces that are too small.
+constexpr double usable_capacity_part = 0.85;
 
-/// Whether too many workers crashed under one of the job's tasks.
-bool is_given_up(const job_board& board, const job_id& job)
-{
-    for (auto it = board.task_crashes.lower_bound({.job = job});
-         it != board.task_crashes.end() && it->key.job == job; ++it) {
-        if (it->value >= max_task_crashes) {
-            return true;
-        }
-    }
-    return false;
-}
+/// Capacity of the workers of a service.
+struct service_capacity {
+    std::int64_t controlled = 0; ///< by this host, in thousandths of a core
+    std::int64_t reachable = 0;  ///< part of it on workers that answer
 
-} // namespace
+    auto operator<=>(const service_capacity&) const = default;
+};
 
-std::optional<job_outcome> dispatch_controller::refusal_outcome(job_board& board,
-                                                                const job_order_fields& order,
-                                                                time_point now) const
+service_capacity capacity_of(const job_board& board, const service_name& service)
 {
-    if (is_given_up(board, order.job->id)) {
-        board.outbox.post(
-            log_decision{"job_refused", order.job->id.text(), {{"reason", "crashed_workers"}}});
-        return job_outcome::failed;
-    }
-    std::int64_t total_cpu_millis = 0;
-    std::int64_t free_cpu_millis = 0;
+    service_capacity sum;
     for (const auto& it : board.sessions) {
         const worker* entry = current_entry(board, it.key, it.value);
         const held_cell* held = board.held_cells.find(it.value.cell);
         if (entry == nullptr || held == nullptr || held->phase != cell_phase::held ||
-            (*entry)->service != order.service || (*entry)->draining) {
+            (*entry)->service != service || (*entry)->draining) {
             continue;
         }
-        const worker_load* load = board.worker_loads.find(it.key);
-        total_cpu_millis += (*entry)->capacity.cpu_millis;
-        free_cpu_millis +=
-            it.value.phase == session_phase::ready
-                ? (*entry)->capacity.cpu_millis - (load == nullptr ? 0 : load->used.cpu_millis)
-                : 0;
-    }
-    if (total_cpu_millis == 0) {
-        return job_outcome::refused;
-    }
-    const duration run_time = critical_path_duration(*order.job);
-    const time_point start_by = order.objective_deadline - run_time;
-    const waiting_group group = waiting_group_of(order, false);
-    // In thousandths of a core times microseconds.
-    std::int64_t work_ahead = 0;
-    for (const auto& it : board.waiting_tasks) {
-        if (std::tie(it.key.group, it.key.start_by) > std::tie(group, start_by)) {
+        const std::int64_t capacity = (*entry)->capacity.cpu_millis;
+        sum.controlled += capacity;
+        sum.reachable += it.value.phase == session_phase::unreachable ? 0 : capacity;
+    }
+    return sum;
+}
+
+/// Whether a queue got too little of the room lately.
+bool is_underserved(const job_board& board, const queue_name& queue, time_point now)
+{
+    const queue_admissions* shares = board.admissions_by_queue.find(queue);
+    return shares != nullptr && is_underserved(shares->all_jobs, *board.admissions, now);
+}
+
+queue_forecast forecast_queue(const job_board& board, const service_name& service,
+                              const service_capacity& capacity, time_point now)
+{
+    const service_backlog* backlog = board.backlogs.find(service);
+    const std::int64_t usable = capacity.reachable > 0 ? capacity.reachable : capacity.controlled;
+    queue_forecast queue{
+        .now = now,
+        .cpu_millis = static_cast<std::int64_t>(static_cast<double>(usable) * usable_capacity_part),
+    };
+    if (backlog == nullptr) {
+        return queue;
+    }
+    queue.started_work = backlog->started;
+    queue.work_beyond = backlog->unstarted;
+    const queue_name* checked_queue = nullptr; // jobs of one queue often wait one after the other
+    bool queue_underserved = false;
+    for (auto it = board.waiting_jobs.lower_bound({.service = service});
+         it != board.waiting_jobs.end() && it->key.service == service; ++it) {
+        if (queue.jobs.size() == max_examined_jobs) {
             break;
         }
-        const job_state* job = board.jobs.find(it.value.job);
-        const job_step& step = (*job)->order->job->steps[it.value.step];
-        work_ahead += step.need.cpu_millis * step.estimated_run_time.count();
+        const waiting_job& job = it->value;
+        if (checked_queue == nullptr || *checked_queue != job.queue) {
+            checked_queue = &job.queue;
+            queue_underserved = is_underserved(board, job.queue, now);
+        }
+        queue.jobs.push_back(
+            {.number = it->key.job,
+             .start_by = it->key.start_by,
+             .work = job.work,
+             .cost = job.cost,
+             .may_yield = now < job.kept_from && !job.underserved && !queue_underserved});
+        queue.work_beyond.microseconds -= job.work.microseconds;
     }
-    std::int64_t needed_cpu_millis = 0;
+    return queue;
+}
+
+/// The step whose tasks need most room together.
+const job_step& widest_step(const job_spec_fields& job)
+{
+    return *std::max_element(job.steps.begin(), job.steps.end(),
+                             [](const job_step& a, const job_step& b) {
+                                 return a.need.cpu_millis * a.count < b.need.cpu_millis * b.count;
+                             });
+}
+
+std::string text_of(core_time it)
+{
+    return std::to_string(it.microseconds);
+}
+
+} // namespace
+
+core_time dispatch_controller::expected_work(const job_board& board,
+                                             const job_order_fields& order) const
+{
+    core_time sum;
     for (const job_step& it : order.job->steps) {
-        needed_cpu_millis =
-            std::max(needed_cpu_millis, it.need.cpu_millis * std::int64_t{it.count});
+        sum.microseconds += expected_run_time(board, order.queue, it).count() * it.need.cpu_millis /
+                            1000 * std::int64_t{it.count};
+    }
+    return sum;
+}
+
+duration dispatch_controller::expected_job_run_time(const job_board& board,
+                                                    const job_order_fields& order) const
+{
+    return expected_run_time(board, order.queue,
+                             {.estimated_run_time = critical_path_duration(*order.job)});
+}
+
+job_request dispatch_controller::make_request(const job_board& board, const job_order_fields& order,
+                                              time_point now) const
+{
+    const core_time work = expected_work(board, order);
+    const duration run_time = expected_job_run_time(board, order);
+    job_request request{.job = {.start_by = admission_->latest_start(order, run_time),
+                                .work = work,
+                                .cost = cost_->cost(order, work)},
+                        .room_at = now};
+    if (const queue_admissions* shares = board.admissions_by_queue.find(order.queue)) {
+        request.underserved =
+            is_underserved(board, order.queue, now) ||
+            (shares->is_large(work) && is_underserved(shares->large_jobs, shares->all_jobs, now));
+    }
+    if (order.job->steps.empty()) {
+        return request;
     }
-    const std::int64_t missing_cpu_millis =
-        std::max<std::int64_t>(0, needed_cpu_millis - std::max<std::int64_t>(free_cpu_millis, 0));
-    const duration wait = expected_wait(work_ahead, missing_cpu_millis, run_time, total_cpu_millis);
-    if (!admission_->admits(order, {.wait = wait, .run_time = run_time}, now)) {
+    const job_step& step = widest_step(*order.job);
+    const place_forecast places = forecast_places(board, order.service, step.need, step.count, now);
+    const std::int64_t missing = std::int64_t{step.count} - std::min(places.free_now, step.count);
+    request.unplaced_work.microseconds =
+        missing * step.need.cpu_millis / 1000 * expected_run_time(board, order.queue, step).count();
+    request.room_at = places.available_at;
+    return request;
+}
+
+admission_decision dispatch_controller::admit(job_board& board, const job_order_fields& order,
+                                              const job_request& request, time_point now)
+{
+    const service_capacity capacity = capacity_of(board, order.service);
+    if (capacity.controlled == 0) {
+        board.outbox.post(log_decision{"job_refused",
+                                       order.job->id.text(),
+                                       {{"reason", to_string(refusal_reason::no_workers)}}});
+        return {.reason = refusal_reason::no_workers, .room_at = now};
+    }
+    const queue_forecast queue = forecast_queue(board, order.service, capacity, now);
+    admission_decision decision = admission_->decide(request, queue);
+    if (decision.reason != refusal_reason::none) {
+        decision.room_at = queue.ends_at();
+        record_admission(board, order.queue, request.job.work, false, now);
         board.outbox.post(
             log_decision{"job_refused",
                          order.job->id.text(),
-                         {{"reason", "objective"},
-                          {"wait_us", std::to_string(wait.count())},
-                          {"run_us", std::to_string(run_time.count())},
-                          {"left_us", std::to_string((order.objective_deadline - now).count())},
+                         {{"reason", to_string(decision.reason)},
+                          {"queue", order.queue.text()},
+                          {"priority", std::to_string(order.priority)},
+                          {"wait_us", std::to_string((decision.expected_start - now).count())},
+                          {"left_us", std::to_string((request.job.start_by - now).count())},
                           {"age_us", std::to_string((now - order.received_at).count())},
-                          {"need", std::to_string(needed_cpu_millis)},
-                          {"free", std::to_string(free_cpu_millis)},
-                          {"total", std::to_string(total_cpu_millis)},
-                          {"waiting", std::to_string(board.waiting_tasks.size())}}});
-        return job_outcome::refused;
+                          {"work_us", text_of(request.job.work)},
+                          {"unplaced_us", text_of(request.unplaced_work)},
+                          {"capacity", std::to_string(queue.cpu_millis)},
+                          {"waiting", std::to_string(board.waiting_jobs.size())}}});
+        return decision;
+    }
+    for (const job_number it : decision.displaced) {
+        const std::string displaced = (*board.jobs.find(it))->order->job->id.text();
+        board.outbox.post(log_decision{"job_displaced",
+                                       displaced,
+                                       {{"by", order.job->id.text()},
+                                        {"by_cost", std::to_string(request.job.cost)},
+                                        {"by_underserved", request.underserved ? "1" : "0"}}});
+        refuse_job(board, it, refusal_reason::displaced, now);
+    }
+    return decision;
+}
+
+void dispatch_controller::add_waiting_job(job_board& board, job_number number,
+                                          const job_request& request)
+{
+    const job_order& order = (*board.jobs.find(number))->order;
+    const waiting_job_rank rank{
+        .service = order->service, .start_by = request.job.start_by, .job = number};
+    waiting_jobs_.put(rank, {.queue = order->queue,
+                             .work = request.job.work,
+                             .cost = request.job.cost,
+                             .kept_from = admission_->decision_deadline(*order),
+                             .underserved = request.underserved});
+    waiting_job_ranks_.put(number, rank);
+    change_backlog(board, order->service, {}, request.job.work);
+}
+
+std::optional<waiting_job> dispatch_controller::remove_waiting_job(job_board& board,
+                                                                   job_number number)
+{
+    const waiting_job_rank* found = board.waiting_job_ranks.find(number);
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    const waiting_job_rank rank = *found;
+    const waiting_job removed = *board.waiting_jobs.find(rank);
+    waiting_jobs_.erase(rank);
+    waiting_job_ranks_.erase(number);
+    change_backlog(board, rank.service, {}, {-removed.work.microseconds});
+    return removed;
+}
+
+void dispatch_controller::change_backlog(job_board& board, const service_name& service,
+                                         core_time started, core_time unstarted)
+{
+    const service_backlog* known = board.backlogs.find(service);
+    service_backlog backlog = known == nullptr ? service_backlog() : *known;
+    backlog.started.microseconds += started.microseconds;
+    backlog.unstarted.microseconds += unstarted.microseconds;
+    if (backlog == service_backlog()) {
+        backlogs_.erase(service);
+        return;
     }
-    return std::nullopt;
+    backlogs_.put(service, backlog);
+}
+
+void dispatch_controller::review_queues(job_board& board, time_point now)
+{
+    if (now < *board.queue_review_due) {
+        return;
+    }
+    queue_review_due_.put(now + queue_review_period);
+    std::vector<service_name> services;
+    for (const auto& it : board.backlogs) {
+        if (it.value.unstarted.microseconds > 0) {
+            services.push_back(it.key);
+        }
+    }
+    for (const service_name& it : services) {
+        review_queue(board, it, now);
+    }
+}
+
+void dispatch_controller::review_queue(job_board& board, const service_name& service,
+                                       time_point now)
+{
+    const service_capacity capacity = capacity_of(board, service);
+    if (capacity.controlled == 0) {
+        return; // see end_jobs_without_workers
+    }
+    const queue_forecast queue = forecast_queue(board, service, capacity, now);
+    for (const job_number it : admission_->excess_jobs(queue)) {
+        refuse_job(board, it, refusal_reason::objective_missed, now);
+    }
+}
+
+void dispatch_controller::refuse_job(job_board& board, job_number number, refusal_reason reason,
+                                     time_point now)
+{
+    const job_order order = (*board.jobs.find(number))->order;
+    const waiting_job_rank rank = *board.waiting_job_ranks.find(number);
+    const waiting_job waiting = *board.waiting_jobs.find(rank);
+    const time_point room_at =
+        forecast_queue(board, order->service, capacity_of(board, order->service), now).ends_at();
+    board.outbox.post(log_decision{"job_refused",
+                                   order->job->id.text(),
+                                   {{"reason", to_string(reason)},
+                                    {"queue", order->queue.text()},
+                                    {"priority", std::to_string(order->priority)},
+                                    {"left_us", std::to_string((rank.start_by - now).count())},
+                                    {"age_us", std::to_string((now - order->received_at).count())},
+                                    {"work_us", text_of(waiting.work)},
+                                    {"cost", std::to_string(waiting.cost)},
+                                    {"waiting", std::to_string(board.waiting_jobs.size())}}});
+    record_admission(board, order->queue, waiting.work, false, now);
+    finish_job(board, number, job_outcome::refused, now,
+               {reason, retry_time(order->job->id, room_at, now)});
+}
+
+void dispatch_controller::record_admission(job_board& board, const queue_name& queue,
+                                           core_time work, bool started, time_point now)
+{
+    admissions_.put(board.admissions->with(work, started, now));
+    const queue_admissions* known = board.admissions_by_queue.find(queue);
+    const queue_admissions shares = known == nullptr ? queue_admissions() : *known;
+    admissions_by_queue_.put(queue, shares.with(work, started, now));
 }
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -2,6 +2,9 @@
 
 #include "log_text.hpp"
 
+#include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "papayafall/core/jobs/policies/retry_time.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -21,6 +24,24 @@
 /// Time between two reviews of a running job whose answer is no longer useful.
 constexpr duration late_job_review_period = std::chrono::milliseconds(500);
 
+/// Whether too many workers crashed under one of the job's tasks.
+bool is_given_up(const job_board& board, const job_id& job)
+{
+    for (auto it = board.task_crashes.lower_bound({.job = job});
+         it != board.task_crashes.end() && it->key.job == job; ++it) {
+        if (it->value >= max_task_crashes) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Work of one task of the step.
+core_time declared_work(const job_step& it)
+{
+    return {it.estimated_run_time.count() * it.need.cpu_millis / 1000};
+}
+
 void log_job_end(job_board& board, const job_state_fields& job, job_outcome outcome, time_point now)
 {
     const job_order_fields& order = *job.order;
@@ -32,6 +53,7 @@
          {"queue", order.queue.text()},
          {"version", std::to_string(order.configuration_version)},
          {"waited_ms", milliseconds_of(started_at - order.received_at)},
+         {"expected_wait_ms", milliseconds_of(job.expected_start - order.received_at)},
          {"ran_ms", milliseconds_of(now - started_at)},
          {"runs", std::to_string(job.starts_sent)},
          {"objective_ms", milliseconds_of(order.objective_deadline - order.received_at)}}});
@@ -41,8 +63,9 @@
 
 dispatch_controller::dispatch_controller(job_board& board,
                                          std::shared_ptr<const placement_policy> placement,
-                                         std::shared_ptr<const job_admission_policy> admission)
-    : placement_(std::move(placement)), admission_(std::move(admission)),
+                                         std::shared_ptr<const job_admission_policy> admission,
+                                         std::shared_ptr<const job_cost_policy> cost)
+    : placement_(std::move(placement)), admission_(std::move(admission)), cost_(std::move(cost)),
       last_job_number_(board.last_job_number.claim()), jobs_(board.jobs.claim()),
       jobs_by_id_(board.jobs_by_id.claim()), jobs_by_origin_(board.jobs_by_origin.claim()),
       tasks_(board.tasks.claim()), waiting_tasks_(board.waiting_tasks.claim()),
@@ -50,7 +73,10 @@
       runs_by_worker_(board.runs_by_worker.claim()), worker_loads_(board.worker_loads.claim()),
       trials_(board.trials.claim()), reserved_worker_(board.reserved_worker.claim()),
       run_time_statistics_(board.run_time_statistics.claim()),
-      queued_work_(board.queued_work.claim())
+      queued_work_(board.queued_work.claim()), waiting_jobs_(board.waiting_jobs.claim()),
+      waiting_job_ranks_(board.waiting_job_ranks.claim()), backlogs_(board.backlogs.claim()),
+      queue_review_due_(board.queue_review_due.claim()),
+      admissions_by_queue_(board.admissions_by_queue.claim()), admissions_(board.admissions.claim())
 {
 }
 
@@ -97,6 +123,7 @@
 
 void dispatch_controller::on_tick(job_board& board, const clock_reading& now)
 {
+    review_queues(board, now.steady);
     start_waiting_tasks(board, now.steady);
     review_due_jobs(board, now.steady);
     if (board.sessions.empty() && !board.jobs.empty()) {
@@ -120,8 +147,18 @@
             it.configuration_version = configuration.version;
         });
     }
-    if (const auto refused = refusal_outcome(board, *order, now)) {
-        board.raised.post(job_finished{received.origin, *refused});
+    if (is_given_up(board, order->job->id)) {
+        board.outbox.post(
+            log_decision{"job_refused", order->job->id.text(), {{"reason", "crashed_workers"}}});
+        board.raised.post(job_finished{received.origin, job_outcome::failed});
+        return;
+    }
+    const job_request request = make_request(board, *order, now);
+    const admission_decision decision = admit(board, *order, request, now);
+    if (decision.reason != refusal_reason::none) {
+        board.raised.post(job_finished{
+            received.origin, job_outcome::refused,
+            job_refusal{decision.reason, retry_time(order->job->id, decision.room_at, now)}});
         return;
     }
     if (const job_number* previous_number = board.jobs_by_id.find(order->job->id)) {
@@ -129,7 +166,8 @@
     }
     const job_number number = board.last_job_number->next();
     last_job_number_.put(number);
-    job_state_fields job{.order = order, .origin = received.origin};
+    job_state_fields job{
+        .order = order, .origin = received.origin, .expected_start = decision.expected_start};
     for (const job_step& it : order->job->steps) {
         job.unfinished_tasks.push_back(it.count);
     }
@@ -142,6 +180,7 @@
     jobs_.put(number, job, admission_->decision_deadline(*order));
     jobs_by_id_.put(order->job->id, number);
     jobs_by_origin_.put(received.origin, number);
+    add_waiting_job(board, number, request);
     for (std::uint32_t n = 0; n < order->job->steps.size(); ++n) {
         if (order->job->steps[n].predecessors.empty()) {
             enqueue_step(board, number, n);
@@ -150,7 +189,7 @@
 }
 
 void dispatch_controller::finish_job(job_board& board, job_number number, job_outcome outcome,
-                                     time_point now)
+                                     time_point now, const job_refusal& refusal)
 {
     const job_state* found = board.jobs.find(number);
     if (found == nullptr || (*found)->closing) {
@@ -158,7 +197,8 @@
     }
     const job_state job = *found;
     log_job_end(board, *job, outcome, now);
-    board.raised.post(job_finished{job->origin, outcome});
+    board.raised.post(job_finished{job->origin, outcome, refusal});
+    remove_waiting_job(board, number);
     jobs_by_origin_.erase(job->origin);
     if (const job_number* current = board.jobs_by_id.find(job->order->job->id);
         current != nullptr && *current == number) {
@@ -254,8 +294,11 @@
         }
     }
     for (const job_number it : idle) {
-        const bool started = (*board.jobs.find(it))->started;
-        finish_job(board, it, started ? job_outcome::interrupted : job_outcome::refused, now);
+        if ((*board.jobs.find(it))->started) {
+            finish_job(board, it, job_outcome::interrupted, now);
+            continue;
+        }
+        refuse_job(board, it, refusal_reason::no_workers, now);
     }
 }
 
@@ -263,20 +306,37 @@
 {
     while (const auto due = board.jobs.expired(now)) {
         const job_state job = *board.jobs.find(*due);
-        const job_order_fields& order = *job->order;
-        if (job->started && job->active_runs > 0) {
-            update_job(board, *due, now, [](job_state_fields&) {});
+        if (!job->started) {
+            review_unstarted_job(board, *due, now);
             continue;
         }
-        if (job->started) {
-            finish_job(board, *due, job_outcome::interrupted, now);
-            continue;
-        }
-        if (now >= order.expires_at || refusal_outcome(board, order, now)) {
-            finish_job(board, *due, job_outcome::refused, now);
+        if (job->active_runs > 0) {
+            update_job(board, *due, now, [](job_state_fields&) {});
             continue;
         }
-        jobs_.put(*due, job, order.expires_at);
+        finish_job(board, *due, job_outcome::interrupted, now);
+    }
+}
+
+void dispatch_controller::review_unstarted_job(job_board& board, job_number number, time_point now)
+{
+    const job_state job = *board.jobs.find(number);
+    const job_order_fields& order = *job->order;
+    if (is_given_up(board, order.job->id)) {
+        finish_job(board, number, job_outcome::failed, now);
+        return;
+    }
+    const time_point give_up_at =
+        admission_->give_up_at(order, expected_job_run_time(board, order));
+    if (now >= give_up_at) {
+        const bool expired = now >= order.expires_at;
+        refuse_job(board, number,
+                   expired ? refusal_reason::expired : refusal_reason::objective_missed, now);
+        return;
+    }
+    review_queue(board, order.service, now);
+    if (board.jobs.contains(number)) {
+        jobs_.put(number, job, give_up_at);
     }
 }
 
@@ -295,25 +355,44 @@
     const job_state job = *board.jobs.find(task.job);
     const job_step& step = job->order->job->steps[task.step];
     const waiting_rank rank{
-        .group = waiting_group_of(*job->order, job->started),
-        .start_by =
-            job->order->objective_deadline - expected_run_time(board, job->order->queue, step),
+        .group = job->started ? waiting_group::started : waiting_group::unstarted,
+        .start_by = admission_->latest_start(*job->order,
+                                             expected_run_time(board, job->order->queue, step)),
         .task = task,
     };
     waiting_tasks_.put(rank, task);
     waiting_ranks_.put(task, rank);
-    queued_work_.put({board.queued_work->microseconds +
-                      step.estimated_run_time.count() * step.need.cpu_millis / 1000});
+    const core_time work = declared_work(step);
+    queued_work_.put({board.queued_work->microseconds + work.microseconds});
+    if (rank.group == waiting_group::started) {
+        change_backlog(board, job->order->service, work, {});
+    }
 }
 
 void dispatch_controller::dequeue_task(job_board& board, const task_ref& task)
 {
     const waiting_rank rank = *board.waiting_ranks.find(task);
-    const job_step& step = (*board.jobs.find(task.job))->order->job->steps[task.step];
+    const job_order& order = (*board.jobs.find(task.job))->order;
+    const core_time work = declared_work(order->job->steps[task.step]);
     waiting_tasks_.erase(rank);
     waiting_ranks_.erase(task);
-    queued_work_.put({board.queued_work->microseconds -
-                      step.estimated_run_time.count() * step.need.cpu_millis / 1000});
+    queued_work_.put({board.queued_work->microseconds - work.microseconds});
+    if (rank.group == waiting_group::started) {
+        change_backlog(board, order->service, {-work.microseconds}, {});
+    }
+}
+
+void dispatch_controller::promote_tasks(job_board& board, job_number number)
+{
+    std::vector<task_ref> waiting;
+    for (auto it = board.waiting_ranks.lower_bound({.job = number});
+         it != board.waiting_ranks.end() && it->key.job == number; ++it) {
+        waiting.push_back(it->key);
+    }
+    for (const task_ref& it : waiting) {
+        dequeue_task(board, it);
+        enqueue_task(board, it);
+    }
 }
 
 void dispatch_controller::start_waiting_tasks(job_board& board, time_point now)
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -92,6 +92,10 @@
         ++it.starts_sent;
         ++it.active_runs;
     });
+    if (const auto admitted = remove_waiting_job(board, task.job)) {
+        record_admission(board, order.queue, admitted->work, true, now);
+        promote_tasks(board, task.job);
+    }
     board.outbox.post(start_run{.to = worker_address_of(board, chosen_worker, session),
                                 .run = id,
                                 .payload = order.job->payload,
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -312,7 +312,7 @@
                    now);
         return;
     }
-    answer_call(board, call, answered.outcome, "dispatcher", now);
+    answer_call(board, call, answered.outcome, "dispatcher", now, answered.refusal);
 }
 
 void intake_controller::cancel_delegation(job_board& board, const accepted_call& accepted)
@@ -328,7 +328,8 @@
 }
 
 void intake_controller::answer_call(job_board& board, call_id call, job_outcome outcome,
-                                    const char* decided_by, time_point now)
+                                    const char* decided_by, time_point now,
+                                    const job_refusal& refusal)
 {
     const accepted_call accepted = *board.calls.find(call);
     const job_order_fields& order = *accepted->order;
@@ -336,11 +337,15 @@
                                    order.job->id.text(),
                                    {{"outcome", to_string(outcome)},
                                     {"decided_by", decided_by},
+                                    {"reason", to_string(refusal.reason)},
                                     {"dispatcher", accepted->dispatcher.text()},
                                     {"attempts", std::to_string(accepted->attempts)},
                                     {"ms", milliseconds_of(now - order.received_at)},
                                     {"late", now > order.objective_deadline ? "1" : "0"}}});
-    board.outbox.post(answer_job{call, outcome, now + refused_retry_delay, order.received_at});
+    const bool retry_time_known = refusal.retry_at != no_deadline;
+    board.outbox.post(answer_job{call, outcome,
+                                 retry_time_known ? refusal.retry_at : now + refused_retry_delay,
+                                 order.received_at});
     calls_by_delegation_.erase(accepted->delegation);
     calls_.erase(call);
 }
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -10,6 +10,7 @@
 #include "papayafall/core/jobs/controllers/lifecycle_controller.hpp"
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
+#include "papayafall/core/jobs/policies/least_cost_admission.hpp"
 
 #include <utility>
 #include <vector>
@@ -20,7 +21,8 @@
 {
     return {
         .placement = std::make_shared<best_fit>(),
-        .admission = std::make_shared<admit_within_objective>(),
+        .admission = std::make_shared<least_cost_admission>(),
+        .cost = std::make_shared<priority_weighted_work>(),
         .selection = std::make_shared<shortest_wait>(),
         .ejection = std::make_shared<eject_after_failures>(),
     };
@@ -42,8 +44,8 @@
     controllers.push_back(
         std::make_unique<intake_controller>(*board, policies.selection, policies.admission));
     // Tasks are started before leases are extended, so that a report call covers the new runs.
-    controllers.push_back(
-        std::make_unique<dispatch_controller>(*board, policies.placement, policies.admission));
+    controllers.push_back(std::make_unique<dispatch_controller>(*board, policies.placement,
+                                                                policies.admission, policies.cost));
     controllers.push_back(std::make_unique<session_controller>(*board));
     return std::make_unique<job_engine>(std::move(board), std::move(controllers));
 }
--- a/packages/core/src/jobs/policies/admission.cpp
+++ b/packages/core/src/jobs/policies/admission.cpp
@@ -1,45 +1,51 @@
 #include "papayafall/core/jobs/policies/admission.hpp"
 
-#include <chrono>
+#include <algorithm>
 
 namespace papayafall::jobs {
 
-namespace {
-
-duration fraction_of_objective(const job_order_fields& order, double fraction)
+time_point queue_forecast::starts_at(core_time work) const
 {
-    const duration objective = order.objective_deadline - order.received_at;
-    return std::chrono::duration_cast<duration>(objective * fraction);
+    // In floating point, because the product of valid numbers may exceed 64 bits.
+    const double wait = static_cast<double>(work.microseconds) * 1000 /
+                        static_cast<double>(std::max<std::int64_t>(cpu_millis, 1));
+    return now + duration(static_cast<std::int64_t>(
+                     std::min(wait, static_cast<double>(max_run_time.count()))));
 }
 
-} // namespace
+time_point queue_forecast::ends_at() const
+{
+    core_time work{started_work.microseconds + work_beyond.microseconds};
+    for (const queued_job& it : jobs) {
+        work.microseconds += it.work.microseconds;
+    }
+    return starts_at(work);
+}
 
-bool admit_every_job::admits(const job_order_fields& /*order*/, const start_forecast& /*forecast*/,
-                             time_point /*now*/) const
+admission_decision admit_every_job::decide(const job_request& /*request*/,
+                                           const queue_forecast& queue) const
 {
-    return true;
+    return {.expected_start = queue.ends_at()};
 }
 
-time_point admit_every_job::decision_deadline(const job_order_fields& /*order*/) const
+std::vector<job_number> admit_every_job::excess_jobs(const queue_forecast& /*queue*/) const
 {
-    return no_deadline;
+    return {};
 }
 
-admit_within_objective::admit_within_objective(double decision_fraction, double tolerance_fraction)
-    : decision_fraction_(decision_fraction), tolerance_fraction_(tolerance_fraction)
+time_point admit_every_job::latest_start(const job_order_fields& order, duration run_time) const
 {
+    return order.objective_deadline - run_time;
 }
 
-bool admit_within_objective::admits(const job_order_fields& order, const start_forecast& forecast,
-                                    time_point now) const
+time_point admit_every_job::decision_deadline(const job_order_fields& /*order*/) const
 {
-    return now + forecast.wait + forecast.run_time <=
-           order.objective_deadline + fraction_of_objective(order, tolerance_fraction_);
+    return no_deadline;
 }
 
-time_point admit_within_objective::decision_deadline(const job_order_fields& order) const
+time_point admit_every_job::give_up_at(const job_order_fields& order, duration /*run_time*/) const
 {
-    return order.received_at + fraction_of_objective(order, decision_fraction_);
+    return order.expires_at;
 }
 
 } // namespace papayafall::jobs
