Keep a reserved place until it is due

The place for a task that fits nowhere was looked for again in each tick, which follows each batch of events, and could move between workers whose runs end at the same time. It is now kept until its instant, and a forecast considers at most 256 runs.

--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -59,7 +59,9 @@
                                          time_point now) const;
     /// Keeps room for a task that fits nowhere on the worker that is expected to have it first, so
     /// that smaller tasks do not take each piece of it that becomes free.
-    void reserve_place(const job_board& board, const task_ref& task, time_point now);
+    /// @param previous reservation before this tick, which the task keeps if it had it
+    void reserve_place(const job_board& board, const task_ref& task,
+                       const place_reservation& previous, time_point now);
     /// Workers that can take the task now. Workers to avoid are left out if any other worker could
     /// run the task, even if that one is busy now.
     /// A task under which workers crashed is placed alone on a worker, which then gets no other
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -329,6 +329,7 @@
     }
     std::size_t unplaced = 0;
     bool reservation_needed = false;
+    const place_reservation previous = *board.reserved_place;
     reserved_place_.put({});
     for (const task_ref& it : offered) {
         if (unplaced == max_unplaced_tasks) {
@@ -340,7 +341,7 @@
         if (!needs_trial(board, it)) {
             ++unplaced;
             if (unplaced == 1) {
-                reserve_place(board, it, now);
+                reserve_place(board, it, previous, now);
             }
         } else if (!reservation_needed && trial_allowed(board, it)) {
             reservation_needed = true;
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -197,8 +197,13 @@
 }
 
 void dispatch_controller::reserve_place(const job_board& board, const task_ref& task,
-                                        time_point now)
+                                        const place_reservation& previous, time_point now)
 {
+    const indexed_worker* kept = board.indexed_workers.find(previous.worker);
+    if (previous.task == task && previous.available_at > now && kept != nullptr && kept->ready) {
+        reserved_place_.put(previous);
+        return;
+    }
     const job_order_fields& order = *(*board.jobs.find(task.job))->order;
     const job_step& step = order.job->steps[task.step];
     if (!step.required_label.empty() || step.max_per_worker > 0) {
--- a/packages/core/src/jobs/policies/place_forecast.cpp
+++ b/packages/core/src/jobs/policies/place_forecast.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Number of runs whose ends are considered.
-constexpr std::size_t max_considered_runs = 512;
+constexpr std::size_t max_considered_runs = 256;
 /// An overdue run is expected to go on for its age divided by this.
 constexpr int overdue_age_divisor = 3;
 
