--- a/packages/core/src/jobs/policies/least_cost_admission.cpp
+++ b/packages/core/src/jobs/policies/least_cost_admission.cpp
@@ -11,8 +11,9 @@
 
 /// Fraction of the objective after which an admitted job keeps its place.
 constexpr double decision_fraction = 0.18;
-/// Fraction of the objective that a job is planned to be early.
-constexpr double safety_fraction = 0.05;
+/// Fraction of a job's slack that is left for declared run times that are too short, and for tasks
+/// that take longer than the others of their job.
+constexpr double kept_slack_fraction = 0.25;
 /// Fraction of the expected run time that a task takes on a fast worker.
 constexpr double fast_run_fraction = 0.7;
 /// Cost of a new job over that of the jobs that it displaces, from which it is worth that these
@@ -256,8 +257,9 @@
 time_point least_cost_admission::latest_start(const job_order_fields& order,
                                               duration run_time) const
 {
-    const duration objective = order.objective_deadline - order.received_at;
-    return order.objective_deadline - run_time - fraction_of(objective, safety_fraction);
+    const time_point last_start = order.objective_deadline - run_time;
+    const duration slack = std::max(last_start - order.received_at, duration{});
+    return last_start - fraction_of(slack, kept_slack_fraction);
 }
 
 time_point least_cost_admission::decision_deadline(const job_order_fields& order) const
