Hold back late requests on used connections

Only the first request of a connection was held back. A caller reads an answer before it sends the next request, and submits a job elsewhere no sooner than the resubmission delay after it lost a connection. So any request that arrives that long after the last answer is held back for 20 ms now; a request that comes earlier cannot have a copy elsewhere and is passed on at once.

--- a/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
+++ b/packages/daemon/include/papayafall/daemon/kept/request_server.hpp
@@ -43,6 +43,9 @@
     duration receive_timeout = std::chrono::seconds(5);
     /// Age of a connection from which its first request may have been delayed on its way.
     duration delayed_request_age = std::chrono::milliseconds(250);
+    /// Time after an answer before which the caller does not submit a later request of the same
+    /// connection elsewhere. A request that arrives later may have been delayed that long.
+    duration resubmission_delay = std::chrono::milliseconds(1300);
     /// Time for which such a request is held back, because the end of the connection may follow it.
     duration delayed_request_hold = std::chrono::milliseconds(20);
     /// Further connections are closed immediately.
--- a/packages/daemon/src/kept/request_server.cpp
+++ b/packages/daemon/src/kept/request_server.cpp
@@ -29,7 +29,7 @@
   public:
     connection(request_server& owner, std::uint64_t number, QTcpSocket* socket)
         : owner_(owner), number_(number), socket_(socket), reader_(owner.options_.limits),
-          first_request_deadline_(steady_now() + owner.options_.delayed_request_age)
+          may_be_delayed_from_(steady_now() + owner.options_.delayed_request_age)
     {
         set_socket_options(*socket_);
         QObject::connect(socket_, &QTcpSocket::readyRead, &context_, [this] { receive(); });
@@ -55,6 +55,7 @@
         reply.keep_alive = keep_alive_ && !owner_.closing_after_answers_;
         const std::string buf = encode_reply(reply);
         call_.reset();
+        may_be_delayed_from_ = steady_now() + owner_.options_.resubmission_delay;
         socket_->write(buf.data(), static_cast<qint64>(buf.size()));
         socket_->flush();
         if (!reply.keep_alive) {
@@ -109,9 +110,7 @@
                 return;
             }
             receive_deadline_ = no_deadline;
-            const bool may_be_delayed =
-                std::exchange(is_first_request_, false) && received_at_ >= first_request_deadline_;
-            if (may_be_delayed) {
+            if (received_at_ >= may_be_delayed_from_) {
                 hold_deadline_ = steady_now() + owner_.options_.delayed_request_hold;
                 held_request_ = *next;
                 return;
@@ -145,8 +144,9 @@
     std::optional<call_id> call_;
     time_point receive_deadline_ = no_deadline;
     time_point received_at_{}; ///< when the last data arrived at this host
-    time_point first_request_deadline_;
-    bool is_first_request_ = true;
+    /// A request that arrives from then on may have been delayed on its way for so long that its
+    /// caller has left.
+    time_point may_be_delayed_from_;
     std::optional<http_request_message> held_request_;
     time_point hold_deadline_ = no_deadline;
     bool keep_alive_ = true;
--- a/packages/daemon/tests/kept/unit-late_requests.cpp
+++ b/packages/daemon/tests/kept/unit-late_requests.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST(a_request_of_a_caller_that_has_left_is_dropped);
     CPPUNIT_TEST(a_late_first_request_waits_for_the_end_of_its_connection);
     CPPUNIT_TEST(a_late_first_request_of_a_caller_that_stays_is_passed_on);
+    CPPUNIT_TEST(a_late_request_on_a_used_connection_waits_for_its_end);
+    CPPUNIT_TEST(a_request_soon_after_an_answer_is_passed_on_at_once);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -142,7 +144,40 @@
         CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 2; })); // without a tick
     }
 
+    // Guards against the start of a job that its caller has submitted elsewhere since: a partition
+    // held up a later request of the connection, and its end came one round trip after it.
+    void a_late_request_on_a_used_connection_waits_for_its_end()
+    {
+        auto caller = std::make_unique<blocking_caller>(server_->port());
+        exchange(*caller);
+        run_for(milliseconds(1400)); // longer than callers take to submit a job elsewhere
+        caller->send(request_text());
+        run_for(milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, handler_->calls.size());
+        caller.reset();
+        run_for(milliseconds(10));
+        server_->on_tick(steady_now() + milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, handler_->calls.size());
+    }
+
+    void a_request_soon_after_an_answer_is_passed_on_at_once()
+    {
+        const blocking_caller caller(server_->port());
+        exchange(caller);
+        run_for(milliseconds(400));
+        caller.send(request_text());
+        CPPUNIT_ASSERT(run_until([&] { return handler_->calls.size() == 2; })); // without a tick
+    }
+
   private:
+    /// Sends a request and has it answered.
+    void exchange(const blocking_caller& caller)
+    {
+        caller.send(request_text());
+        CPPUNIT_ASSERT(run_until([&] { return !handler_->calls.empty(); }));
+        server_->answer(handler_->calls[0], {.status = 200});
+    }
+
     std::unique_ptr<recording_handler> handler_;
     std::unique_ptr<request_server> server_;
 };
