Cancel a job at whichever host its DELETE reaches

The host looked for the call that it had taken itself, after it had looked for the queue, and forgot a cancelled job at once.

Each host that learns of one ends its call or job and starts no copy.

An index of the calls by job replaces a scan. Job links carry three more messages.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -7,6 +7,7 @@
 #include "papayafall/core/engine/engine.hpp"
 #include "papayafall/core/jobs/messages/job_action.hpp"
 #include "papayafall/core/jobs/messages/job_event.hpp"
+#include "papayafall/core/jobs/state/cancellation_state.hpp"
 #include "papayafall/core/jobs/state/job_state.hpp"
 #include "papayafall/core/jobs/state/lifecycle_state.hpp"
 #include "papayafall/core/jobs/state/membership_state.hpp"
@@ -109,6 +110,11 @@
     cell<delegation_id> last_delegation_id;
     table<call_id, accepted_call> calls;
     table<delegation_id, call_id> calls_by_delegation;
+    table<job_call, call_id> calls_by_job; ///< index of `calls`
+
+    // written by cancellation_controller
+    table<job_id, cancelled_job> cancelled_jobs;         ///< until no copy of a request can arrive
+    table<job_id, open_cancellation> open_cancellations; ///< other hosts are asked about the job
 
     // written by dispatch_controller
     cell<job_number> last_job_number;
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -40,6 +40,7 @@
     /// Removes a job whose runs have all ended.
     void erase_job(job_board& board, job_number number);
     void cancel_job(job_board& board, const job_origin& origin, time_point now);
+    void cancel_job(job_board& board, const job_id& job, time_point now);
     void interrupt_jobs_of_link(job_board& board, link_number link, time_point now);
     void interrupt_all_jobs(job_board& board, time_point now);
     /// Ends the waiting jobs of a host without workers, except those that may still be admitted.
--- a/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/intake_controller.hpp
@@ -27,11 +27,11 @@
     void accept_call(job_board& board, const job_submitted& submitted, time_point now);
     /// Answers with the number of jobs of a queue that wait at this host.
     void report_queue_length(job_board& board, const queue_length_requested& request);
-    void report_or_cancel_job(job_board& board, const job_status_requested& request,
-                              time_point now);
+    static void report_job_status(job_board& board, const job_status_requested& request);
     void abandon_call(job_board& board, call_id call, time_point now);
     void interrupt_calls_of_peer(job_board& board, const host_name& host, time_point now);
     void interrupt_all_calls(job_board& board, time_point now);
+    void cancel_calls_of_job(job_board& board, const job_id& job, time_point now);
     void on_delegation_answered(job_board& board, const delegation_answered& answered,
                                 time_point now);
     /// Delegates the job of a call, or schedules another attempt if no dispatcher accepts jobs.
@@ -46,6 +46,7 @@
     cell_writer<delegation_id> last_delegation_id_;
     table_writer<call_id, accepted_call> calls_;
     table_writer<delegation_id, call_id> calls_by_delegation_;
+    table_writer<job_call, call_id> calls_by_job_;
 };
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/job_cancellation.hpp"
 #include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
@@ -32,16 +33,21 @@
     std::optional<std::uint64_t> waiting; ///< jobs without a started task; empty: unknown queue
 };
 
-/// State of a job as told to a caller. `unknown`: this host has no open call for the job;
+/// State of a job as told to a caller. `unknown`: this host has no open call for the job, or no
+/// host that may run it has it open; `undetermined`: not all of these hosts have answered;
 /// `no_configuration`: the queues are not known yet.
 enum class job_status : std::uint8_t {
     unknown,
     running,
     cancelled,
     no_configuration,
-    unknown_queue
+    unknown_queue,
+    undetermined
 };
 
+/// Name of the status in log lines.
+const char* to_string(job_status it) noexcept;
+
 /// Answers a `job_status_requested`.
 struct answer_job_status {
     call_id call;
@@ -136,6 +142,30 @@
     std::uint32_t crashes = 0;
 };
 
+/// Tells all linked hosts that a job was cancelled.
+struct publish_cancellation {
+    job_cancellation cancellation;
+};
+
+/// Tells the host at the other end of a link that a job was cancelled.
+struct send_cancellation {
+    link_number link;
+    job_cancellation cancellation;
+};
+
+/// Tells a host that a job was cancelled, and asks whether it had the job open.
+struct request_cancellation {
+    host_name to;
+    job_cancellation cancellation;
+};
+
+/// Answers a `job_cancellation_requested`.
+struct answer_cancellation {
+    link_number link;
+    job_id job;
+    bool found = false;
+};
+
 // Actions towards the other hosts and the operators.
 
 /// Tells which version of the configuration is in force on this host from now on.
@@ -209,7 +239,8 @@
                  release_cell, update_host_entry, connect_peer, disconnect_peer, delegate_job,
                  withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
                  request_configuration, send_configuration, publish_configuration_version,
-                 publish_task_crashes, start_run, stop_run, fetch_report, close_worker_connections,
-                 set_readiness, stop_dispatcher, log_decision>;
+                 publish_task_crashes, publish_cancellation, send_cancellation,
+                 request_cancellation, answer_cancellation, start_run, stop_run, fetch_report,
+                 close_worker_connections, set_readiness, stop_dispatcher, log_decision>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/job_cancellation.hpp"
 #include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
@@ -112,6 +113,7 @@
 struct peer_connected {
     host_name host;
     incarnation_id incarnation;
+    link_number link{};
 };
 
 /// The outgoing connection to a host has ended.
@@ -170,6 +172,24 @@
     std::uint32_t crashes = 0;
 };
 
+/// A linked host tells that a job was cancelled.
+struct job_cancellation_reported {
+    job_cancellation cancellation;
+};
+
+/// A linked host asks whether this one has a cancelled job open.
+struct job_cancellation_requested {
+    link_number link;
+    job_cancellation cancellation;
+};
+
+/// A host answered a `request_cancellation`.
+struct job_cancellation_answered {
+    host_name host;
+    job_id job;
+    bool found = false; ///< it had the job open, or knows of a host that had
+};
+
 /// The previous holder of a worker's cell has no more runs on the worker.
 struct worker_released {
     worker_id id;
@@ -329,6 +349,11 @@
     job_refusal refusal; ///< for outcome `refused`
 };
 
+/// A job that this host has open was cancelled, here or at another host.
+struct job_cancelled {
+    job_id job;
+};
+
 /// This host delegated a job to another dispatcher.
 struct job_delegated {
     host_name to;
@@ -350,6 +375,7 @@
     report_received, report_failed, stop_requested, process_resumed, process_stopping,
     cell_acquired, cell_lost, run_finished, run_stalled, run_time_measured, worker_runs_terminated,
     run_lost, worker_crashed_under_task, task_crashes_counted, worker_restarted,
-    worker_ownership_lost, job_finished, job_delegated, lease_extended>;
+    worker_ownership_lost, job_finished, job_delegated, lease_extended, job_cancellation_reported,
+    job_cancellation_requested, job_cancellation_answered, job_cancelled>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -141,4 +141,12 @@
 
 using accepted_call = value<accepted_call_fields>;
 
+/// A caller's open job together with the call.
+struct job_call {
+    job_id job;
+    call_id call;
+
+    auto operator<=>(const job_call&) const = default;
+};
+
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/board/job_board.cpp
+++ b/packages/core/src/jobs/board/job_board.cpp
@@ -44,6 +44,10 @@
     for (const auto& it : calls_by_delegation) {
         ensure(calls.contains(it.value), "each delegation belongs to a call");
     }
+    ensure(calls.size() == calls_by_job.size(), "each call is indexed by its job");
+    for (const auto& it : open_cancellations) {
+        ensure(!it.value->calls.empty(), "each open cancellation has a caller");
+    }
 }
 
 cell_id job_board::cell_of(const worker_fields& it) const
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -2,6 +2,8 @@
 
 #include "log_text.hpp"
 
+#include "papayafall/core/jobs/controllers/cancellation_controller.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
@@ -79,6 +81,9 @@
     if (const auto* it = std::get_if<delegation_withdrawn>(&incoming)) {
         cancel_job(board, it->origin, now.steady);
     }
+    if (const auto* it = std::get_if<job_cancelled>(&incoming)) {
+        cancel_job(board, it->job, now.steady);
+    }
     if (const auto* it = std::get_if<delegator_lost>(&incoming)) {
         interrupt_jobs_of_link(board, it->link, now.steady);
     }
@@ -108,6 +113,13 @@
                                      time_point now)
 {
     job_order order = received.order;
+    if (is_cancelled(board, order->job->id)) {
+        board.outbox.post(log_decision{"job_refused",
+                                       order->job->id.text(),
+                                       {{"reason", to_string(refusal_reason::cancelled)}}});
+        board.raised.post(job_finished{received.origin, job_outcome::cancelled});
+        return;
+    }
     const queue_configuration_fields& configuration = **board.configuration;
     if (configuration.version > order->configuration_version) {
         const queue_definition* queue = configuration.find(order->queue);
@@ -217,6 +229,13 @@
     }
 }
 
+void dispatch_controller::cancel_job(job_board& board, const job_id& job, time_point now)
+{
+    if (const job_number* found = board.jobs_by_id.find(job)) {
+        finish_job(board, job_number(*found), job_outcome::cancelled, now);
+    }
+}
+
 void dispatch_controller::interrupt_jobs_of_link(job_board& board, link_number link, time_point now)
 {
     std::vector<job_number> lost;
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "log_text.hpp"
 
+#include "papayafall/core/jobs/controllers/cancellation_controller.hpp"
 #include "papayafall/core/jobs/controllers/configuration_controller.hpp"
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
@@ -67,7 +68,8 @@
                                      std::shared_ptr<const job_admission_policy> admission)
     : selection_(std::move(selection)), admission_(std::move(admission)),
       last_delegation_id_(board.last_delegation_id.claim()), calls_(board.calls.claim()),
-      calls_by_delegation_(board.calls_by_delegation.claim())
+      calls_by_delegation_(board.calls_by_delegation.claim()),
+      calls_by_job_(board.calls_by_job.claim())
 {
 }
 
@@ -83,8 +85,12 @@
     if (const auto* it = std::get_if<queue_length_requested>(&incoming)) {
         report_queue_length(board, *it);
     }
-    if (const auto* it = std::get_if<job_status_requested>(&incoming)) {
-        report_or_cancel_job(board, *it, now.steady);
+    if (const auto* it = std::get_if<job_status_requested>(&incoming);
+        it != nullptr && !it->cancel) {
+        report_job_status(board, *it);
+    }
+    if (const auto* it = std::get_if<job_cancelled>(&incoming)) {
+        cancel_calls_of_job(board, it->job, now.steady);
     }
     if (const auto* it = std::get_if<call_abandoned>(&incoming)) {
         abandon_call(board, it->call, now.steady);
@@ -128,6 +134,12 @@
                                        {{"age_ms", milliseconds_of(now - submitted.received_at)},
                                         {"left_ms", milliseconds_of(submitted.answer_by - now)}}});
     }
+    if (is_cancelled(board, submitted.job->id)) {
+        board.outbox.post(
+            log_decision{"job_refused", id, {{"reason", to_string(refusal_reason::cancelled)}}});
+        board.outbox.post(answer_job{submitted.call, job_outcome::cancelled, now, now});
+        return;
+    }
     const bool caller_gone = now >= submitted.answer_by;
     if (caller_gone || board.lifecycle->stopped) {
         board.outbox.post(log_decision{
@@ -159,6 +171,7 @@
             answer_job{submitted.call, job_outcome::unsupported, now + refused_retry_delay, now});
         return;
     }
+    calls_by_job_.put({submitted.job->id, submitted.call}, submitted.call);
     place_call(board, submitted.call,
                accepted_call_fields{.order = make_order(submitted, *queue, configuration.version),
                                     .answer_by = submitted.answer_by},
@@ -224,8 +237,7 @@
     board.outbox.post(answer_queue_length{request.call, waiting});
 }
 
-void intake_controller::report_or_cancel_job(job_board& board, const job_status_requested& request,
-                                             time_point now)
+void intake_controller::report_job_status(job_board& board, const job_status_requested& request)
 {
     const queue_configuration_fields& configuration = **board.configuration;
     if (configuration.version == 0) {
@@ -236,22 +248,9 @@
         board.outbox.post(answer_job_status{request.call, job_status::unknown_queue});
         return;
     }
-    std::optional<call_id> found;
-    for (const auto& it : board.calls) {
-        if (it.value->order->job->id == request.job) {
-            found = it.key;
-        }
-    }
-    if (!found) {
-        board.outbox.post(answer_job_status{request.call, job_status::unknown});
-        return;
-    }
-    if (request.cancel) {
-        cancel_delegation(board, *board.calls.find(*found));
-        answer_call(board, *found, job_outcome::cancelled, "caller", now);
-    }
-    board.outbox.post(answer_job_status{request.call, request.cancel ? job_status::cancelled
-                                                                     : job_status::running});
+    const bool open = is_open(board, request.job);
+    board.outbox.post(
+        answer_job_status{request.call, open ? job_status::running : job_status::unknown});
 }
 
 void intake_controller::abandon_call(job_board& board, call_id call, time_point now)
@@ -267,6 +266,7 @@
                                     {"ms", milliseconds_of(now - accepted->order->received_at)}}});
     cancel_delegation(board, accepted);
     calls_by_delegation_.erase(accepted->delegation);
+    calls_by_job_.erase({accepted->order->job->id, call});
     calls_.erase(call);
 }
 
@@ -296,6 +296,19 @@
     }
 }
 
+void intake_controller::cancel_calls_of_job(job_board& board, const job_id& job, time_point now)
+{
+    std::vector<call_id> cancelled;
+    for (auto it = board.calls_by_job.lower_bound({.job = job});
+         it != board.calls_by_job.end() && it->key.job == job; ++it) {
+        cancelled.push_back(it->value);
+    }
+    for (const call_id it : cancelled) {
+        cancel_delegation(board, *board.calls.find(it));
+        answer_call(board, it, job_outcome::cancelled, "caller", now);
+    }
+}
+
 void intake_controller::on_delegation_answered(job_board& board,
                                                const delegation_answered& answered, time_point now)
 {
@@ -342,6 +355,7 @@
                                     {"late", now > order.objective_deadline ? "1" : "0"}}});
     board.outbox.post(answer_job{call, outcome, now + refused_retry_delay, order.received_at});
     calls_by_delegation_.erase(accepted->delegation);
+    calls_by_job_.erase({order.job->id, call});
     calls_.erase(call);
 }
 
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/cancellation_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 #include "papayafall/core/policies/rendezvous_hash.hpp"
 
@@ -74,6 +75,11 @@
     for (const host_name& it : select_foreign_dispatchers(board, foreign_dispatchers)) {
         needed.insert(it);
     }
+    for (const host_name& it : awaited_hosts(board)) {
+        if (is_reachable(board, it)) {
+            needed.insert(it);
+        }
+    }
     needed.erase(host_name());
     needed.erase(board.self.host);
     return needed;
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/engine/job_engine.hpp"
 
+#include "papayafall/core/jobs/controllers/cancellation_controller.hpp"
 #include "papayafall/core/jobs/controllers/cell_controller.hpp"
 #include "papayafall/core/jobs/controllers/configuration_controller.hpp"
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
@@ -38,6 +39,7 @@
     controllers.push_back(std::make_unique<peer_controller>(*board));
     controllers.push_back(std::make_unique<cell_controller>(*board));
     controllers.push_back(std::make_unique<crash_controller>(*board));
+    controllers.push_back(std::make_unique<cancellation_controller>(*board));
     controllers.push_back(std::make_unique<health_controller>(*board, policies.ejection));
     controllers.push_back(
         std::make_unique<intake_controller>(*board, policies.selection, policies.admission));
--- a/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
+++ b/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
@@ -28,7 +28,8 @@
 
 /// TCP links between entry hosts. A host opens links to dispatchers and delegates jobs over them;
 /// the receiving host sends the outcomes and its load over the same link. Both ends tell each other
-/// the version of their configuration, send it on request, and pass crashes under tasks on.
+/// the version of their configuration, send it on request, and pass on crashes under tasks and
+/// cancelled jobs.
 ///
 /// A delegated job is bound to its link: both ends treat a silent link as lost, so that the
 /// receiver stops the runs and the sender can rely on that. Not thread-safe: use it only on the
@@ -72,6 +73,18 @@
     /// Tells all linked hosts how many workers crashed under a task.
     void publish(const publish_task_crashes& action);
 
+    /// Tells all linked hosts that a job was cancelled.
+    void publish(const publish_cancellation& action);
+
+    /// Tells the host at the other end of a link that a job was cancelled.
+    void send(const send_cancellation& action);
+
+    /// Asks a host whether it had a cancelled job open; does nothing without a link to it.
+    void request(const request_cancellation& action);
+
+    /// Tells the host at the other end of a link whether this one had a cancelled job open.
+    void answer(const answer_cancellation& action);
+
     /// Asks the host at the other end of a link for its configuration.
     void request(const request_configuration& action);
 
--- a/packages/daemon/src/jobs/job_link.hpp
+++ b/packages/daemon/src/jobs/job_link.hpp
@@ -141,6 +141,18 @@
             owner_.events_.post(task_crashes_reported{it->task, it->crashes});
             return true;
         }
+        if (const auto* it = std::get_if<link_cancellation>(&message)) {
+            owner_.events_.post(job_cancellation_reported{it->cancellation});
+            return true;
+        }
+        if (const auto* it = std::get_if<link_cancellation_request>(&message)) {
+            owner_.events_.post(job_cancellation_requested{number_, it->cancellation});
+            return true;
+        }
+        if (const auto* it = std::get_if<link_cancellation_answer>(&message)) {
+            owner_.events_.post(job_cancellation_answered{peer_, it->job, it->found});
+            return true;
+        }
         return false;
     }
 
@@ -214,7 +226,7 @@
         if (const auto* it = std::get_if<link_hello>(&message)) {
             handshake_done_ = true;
             set_peer(it->host);
-            owner().events_.post(peer_connected{it->host, it->incarnation});
+            owner().events_.post(peer_connected{it->host, it->incarnation, number()});
             write_configuration_version();
         }
         if (const auto* it = std::get_if<link_load>(&message)) {
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -113,6 +113,33 @@
     write_to_all(link_task_crashes{action.task, action.crashes});
 }
 
+void job_links::publish(const publish_cancellation& action)
+{
+    write_to_all(link_cancellation{action.cancellation});
+}
+
+void job_links::send(const send_cancellation& action)
+{
+    if (link* const it = find(action.link)) {
+        it->write(link_cancellation{action.cancellation});
+    }
+}
+
+void job_links::request(const request_cancellation& action)
+{
+    const auto it = outgoing_links_.find(action.to);
+    if (it != outgoing_links_.end()) {
+        it->second->write(link_cancellation_request{action.cancellation});
+    }
+}
+
+void job_links::answer(const answer_cancellation& action)
+{
+    if (link* const it = find(action.link)) {
+        it->write(link_cancellation_answer{action.job, action.found});
+    }
+}
+
 void job_links::write_to_all(const job_message& message)
 {
     const time_point now = steady_now();
--- a/packages/wire/include/papayafall/wire/jobs/job_message.hpp
+++ b/packages/wire/include/papayafall/wire/jobs/job_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "papayafall/core/jobs/state/job_state.hpp"
+#include "papayafall/core/jobs/values/job_cancellation.hpp"
 #include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
@@ -92,12 +93,35 @@
     auto operator<=>(const link_task_crashes&) const = default;
 };
 
+/// Tells that a job was cancelled.
+struct link_cancellation {
+    job_cancellation cancellation;
+
+    auto operator<=>(const link_cancellation&) const = default;
+};
+
+/// Tells that a job was cancelled, and asks whether the receiver had it open.
+struct link_cancellation_request {
+    job_cancellation cancellation;
+
+    auto operator<=>(const link_cancellation_request&) const = default;
+};
+
+/// Answers a `link_cancellation_request`.
+struct link_cancellation_answer {
+    job_id job;
+    bool found = false; ///< the sender had the job open, or knows of a host that had
+
+    auto operator<=>(const link_cancellation_answer&) const = default;
+};
+
 /// Any message between dispatchers on a job link. The index of an alternative is its number on the
 /// wire.
 using job_message =
     std::variant<link_hello, link_keepalive, link_load, link_delegation, link_withdrawal,
                  link_outcome, link_release, link_configuration_version, link_configuration_request,
-                 link_configuration, link_task_crashes>;
+                 link_configuration, link_task_crashes, link_cancellation,
+                 link_cancellation_request, link_cancellation_answer>;
 
 /// Maximum frame size in bytes, including the size field.
 inline constexpr std::size_t max_job_frame_size = std::size_t{1} << 20U;
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -168,6 +168,31 @@
     archive(it.task, it.crashes);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, job_cancellation& it)
+{
+    auto& [job, found, forget_at] = it;
+    archive(job, found, forget_at);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_cancellation& it)
+{
+    archive(it.cancellation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_cancellation_request& it)
+{
+    archive(it.cancellation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_cancellation_answer& it)
+{
+    archive(it.job, it.found);
+}
+
 } // namespace papayafall::detail
 
 namespace papayafall::jobs {
--- a/packages/wire/tests/jobs/unit-job_message.cpp
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -71,7 +71,13 @@
             link_configuration_version{12},
             link_configuration_request{},
             link_configuration{sample_configuration()},
-            link_task_crashes{{job_id("0123456789abcdef"), 1, 2}, 3}};
+            link_task_crashes{{job_id("0123456789abcdef"), 1, 2}, 3},
+            link_cancellation{{.job = job_id("0123456789abcdef"),
+                               .found = true,
+                               .forget_at = now + std::chrono::seconds(40)}},
+            link_cancellation_request{
+                {.job = job_id("0123456789abcdef"), .forget_at = now + std::chrono::seconds(41)}},
+            link_cancellation_answer{job_id("0123456789abcdef"), true}};
 }
 
 class job_message_test : public CppUnit::TestFixture {
