Have the callers of the randomised job runs cancel at any host

A start counts as a fault once a caller was told that the job is cancelled or unknown, and all hosts have been up and linked for 3 s since.

An id that the sender would forget within 5 s is not remembered any more (a_cancellation_that_others_forget_soon_is_not_passed_on); open work of the job is ended all the same.

--- a/packages/core/include/papayafall/core/jobs/controllers/cancellation_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/cancellation_controller.hpp
@@ -29,7 +29,8 @@
     void ask_other_hosts(job_board& board, const job_status_requested& request, time_point now);
     void on_answer(job_board& board, const job_cancellation_answered& answered, time_point now);
     /// Ends what this host has open of a cancelled job, and passes on what is new.
-    void remember(job_board& board, const job_cancellation& cancellation, time_point now);
+    /// @return whether this host had it open, or knows of a host that had
+    bool remember(job_board& board, const job_cancellation& cancellation, time_point now);
     /// Forgets the entry that is nearest to its end if there are too many.
     void make_room(job_board& board);
     static void send_all(job_board& board, link_number link);
--- a/packages/core/src/jobs/controllers/cancellation_controller.cpp
+++ b/packages/core/src/jobs/controllers/cancellation_controller.cpp
@@ -15,6 +15,9 @@
 /// Time for which a cancelled job is remembered. Copies of its request that the network held up
 /// arrive within seconds, and callers stop submitting a job well before.
 constexpr duration cancellation_memory_time = std::chrono::seconds(60);
+/// Shortest remaining time for which a cancellation of another host is remembered. Hosts forget a
+/// job at slightly different times, and would tell one another of it forever.
+constexpr duration min_remaining_memory_time = std::chrono::seconds(5);
 /// Number of cancelled jobs that are remembered, so that callers cannot exhaust the memory.
 constexpr std::size_t max_cancelled_jobs = 16'384;
 /// Time for which the answers of other hosts are awaited. It covers the opening of missing links,
@@ -94,10 +97,8 @@
         remember(board, it->cancellation, now.steady);
     }
     if (const auto* it = std::get_if<job_cancellation_requested>(&incoming)) {
-        remember(board, it->cancellation, now.steady);
-        const job_id& job = it->cancellation.job;
-        const cancelled_job* known = board.cancelled_jobs.find(job);
-        board.outbox.post(answer_cancellation{it->link, job, known != nullptr && known->found});
+        const bool found = remember(board, it->cancellation, now.steady);
+        board.outbox.post(answer_cancellation{it->link, it->cancellation.job, found});
     }
     if (const auto* it = std::get_if<job_cancellation_answered>(&incoming)) {
         on_answer(board, *it, now.steady);
@@ -128,8 +129,9 @@
 void cancellation_controller::cancel_for_caller(job_board& board,
                                                 const job_status_requested& request, time_point now)
 {
-    remember(board, {.job = request.job, .forget_at = now + cancellation_memory_time}, now);
-    if (board.cancelled_jobs.find(request.job)->found) {
+    const bool found =
+        remember(board, {.job = request.job, .forget_at = now + cancellation_memory_time}, now);
+    if (found) {
         board.outbox.post(answer_job_status{request.call, job_status::cancelled});
         return;
     }
@@ -184,7 +186,7 @@
     }
 }
 
-void cancellation_controller::remember(job_board& board, const job_cancellation& cancellation,
+bool cancellation_controller::remember(job_board& board, const job_cancellation& cancellation,
                                        time_point now)
 {
     const job_id& job = cancellation.job;
@@ -194,8 +196,9 @@
     }
     const cancelled_job* known = board.cancelled_jobs.find(job);
     const bool found = cancellation.found || open || (known != nullptr && known->found);
-    if (known != nullptr && known->found == found) {
-        return;
+    const bool expiring = now + min_remaining_memory_time > cancellation.forget_at;
+    if (known == nullptr ? expiring : known->found == found) {
+        return found;
     }
     const time_point forget_at =
         known != nullptr ? known->forget_at
@@ -208,6 +211,7 @@
     if (found) {
         answer_callers(board, job, job_status::cancelled);
     }
+    return found;
 }
 
 void cancellation_controller::make_room(job_board& board)
--- a/packages/core/tests/random/jobs/dispatcher_actions.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_actions.cpp
@@ -21,6 +21,11 @@
     }
 }
 
+void dispatcher_model::perform(const jobs::answer_job_status& it)
+{
+    context_.callers.on_status(it.call, it.status);
+}
+
 void dispatcher_model::perform(const jobs::follow_workers& it)
 {
     follows_workers_ = it.follow;
@@ -164,6 +169,30 @@
     return [](const jobs::job_event&) {};
 }
 
+void dispatcher_model::perform(const jobs::publish_cancellation& it)
+{
+    send_to_all(jobs::job_cancellation_reported{it.cancellation});
+}
+
+void dispatcher_model::perform(const jobs::send_cancellation& it)
+{
+    sender_of(it.link)(jobs::job_cancellation_reported{it.cancellation});
+}
+
+void dispatcher_model::perform(const jobs::request_cancellation& it)
+{
+    const auto found = outgoing_links_.find(it.to.text());
+    if (found != outgoing_links_.end()) {
+        found->second->send_to_accepter(
+            jobs::job_cancellation_requested{found->second->number(), it.cancellation});
+    }
+}
+
+void dispatcher_model::perform(const jobs::answer_cancellation& it)
+{
+    sender_of(it.link)(jobs::job_cancellation_answered{self_.host, it.job, it.found});
+}
+
 void dispatcher_model::perform(const jobs::request_configuration& it)
 {
     sender_of(it.link)(jobs::configuration_requested{it.link});
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -24,6 +24,7 @@
     virtual ~answer_sink() = default;
 
     virtual void on_answer(call_id call, jobs::job_outcome outcome) = 0;
+    virtual void on_status(call_id call, jobs::job_status status) = 0;
     /// The host that had the call was killed, or the connection was reset.
     virtual void on_disconnected(call_id call) = 0;
 };
@@ -64,6 +65,8 @@
     /// Requests a graceful stop; the process ends on its own.
     void stop();
     void submit(call_id call, const jobs::job_spec& job, time_point answer_by);
+    /// A caller cancels a job, whichever host has it.
+    void cancel(call_id call, const jobs::job_id& job);
     /// The caller has closed its connection.
     /// @param noticed whether the end of the connection arrives here
     void abandon_call(call_id call, bool noticed);
@@ -92,6 +95,7 @@
     void perform_actions();
 
     void perform(const jobs::answer_job& it);
+    void perform(const jobs::answer_job_status& it);
     void perform(const jobs::follow_workers& it);
     void perform(const jobs::claim_cell& it);
     void perform(const jobs::release_cell& it);
@@ -105,6 +109,10 @@
     void perform(const jobs::release_worker& it);
     void perform(const jobs::publish_configuration_version& it);
     void perform(const jobs::publish_task_crashes& it);
+    void perform(const jobs::publish_cancellation& it);
+    void perform(const jobs::send_cancellation& it);
+    void perform(const jobs::request_cancellation& it);
+    void perform(const jobs::answer_cancellation& it);
     void perform(const jobs::request_configuration& it);
     void send_to_all(const jobs::job_event& it);
     void perform(const jobs::send_configuration& it);
--- a/packages/core/tests/random/jobs/job_history.cpp
+++ b/packages/core/tests/random/jobs/job_history.cpp
@@ -1,5 +1,6 @@
 #include "random/jobs/job_history.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <stdexcept>
@@ -11,6 +12,8 @@
 
 /// Number of lines that are printed with a failure.
 constexpr std::size_t max_notes = 2000;
+/// Time that linked hosts need to tell one another of a cancelled job and to stop it.
+constexpr duration max_cancellation_time = std::chrono::seconds(3);
 
 std::string to_text(time_point now)
 {
@@ -65,6 +68,32 @@
     }
 }
 
+void job_history::cancelled(const jobs::job_id& job, time_point now)
+{
+    note("cancelled " + job.text(), now);
+    job_record& record = jobs_.at(job);
+    record.cancelled_at = std::min(record.cancelled_at, now);
+}
+
+void job_history::hosts_disturbed(time_point until)
+{
+    hosts_disturbed_until_ = std::max(hosts_disturbed_until_, until);
+}
+
+void job_history::host_ended(const std::string& host, time_point now)
+{
+    note("end of " + host, now);
+    const bool others_know = now >= hosts_disturbed_until_ + max_cancellation_time;
+    for (auto& [id, record] : jobs_) {
+        if (record.cancelled_at == no_deadline) {
+            continue;
+        }
+        if (!others_know || now < record.cancelled_at + max_cancellation_time) {
+            record.cancelled_at = no_deadline;
+        }
+    }
+}
+
 void job_history::disconnected(const jobs::job_id& job, std::uint64_t /*attempt*/)
 {
     --jobs_.at(job).open_attempts;
@@ -89,6 +118,10 @@
                  std::to_string(other->second.second) + " at " + other->second.first.text(),
              now);
     }
+    if (record.cancelled_at != no_deadline &&
+        now >= std::max(record.cancelled_at, hosts_disturbed_until_) + max_cancellation_time) {
+        fail("a task of a cancelled job was started: " + to_text(run), now);
+    }
     record.running_runs[{run.step, run.task}] = {worker, run.number};
     for (const std::uint32_t predecessor : record.job->steps.at(run.step).predecessors) {
         for (std::uint32_t index = 0; index < record.job->steps[predecessor].count; ++index) {
--- a/packages/core/tests/random/jobs/job_history.hpp
+++ b/packages/core/tests/random/jobs/job_history.hpp
@@ -25,13 +25,19 @@
     /// although a task was started.
     void answered(const jobs::job_id& job, std::uint64_t attempt, jobs::job_outcome outcome,
                   time_point now);
+    /// A caller was told that a job is cancelled, or that no host has it open.
+    void cancelled(const jobs::job_id& job, time_point now);
+    /// Hosts may be down, suspended or cut off from one another until an instant.
+    void hosts_disturbed(time_point until);
+    /// The process of a host ended, and with it what only this host knew of cancelled jobs.
+    void host_ended(const std::string& host, time_point now);
     /// The connection of an attempt ended before the answer.
     void disconnected(const jobs::job_id& job, std::uint64_t attempt);
 
     /// A worker started a run.
     ///
-    /// Fails if the job was never submitted or all its attempts were refused, if another run of the
-    /// task is in progress, or if a preceding step is not done.
+    /// Fails if the job was never submitted, was cancelled, or all its attempts were refused, if
+    /// another run of the task is in progress, or if a preceding step is not done.
     void started(const jobs::worker_id& worker, const jobs::run_id& run, time_point now);
     /// A run ended, on its own or because its worker crashed.
     void ended(const jobs::worker_id& worker, const jobs::run_id& run, jobs::run_outcome outcome,
@@ -76,7 +82,8 @@
         std::uint64_t starts = 0;
         bool succeeded = false;
         std::set<std::pair<std::uint32_t, std::uint32_t>> done_tasks; ///< by step and index
-        std::uint32_t crashes = 0; ///< workers that a task of the job has crashed
+        std::uint32_t crashes = 0;             ///< workers that a task of the job has crashed
+        time_point cancelled_at = no_deadline; ///< when a caller was told so
         /// Runs in progress by step and index of the task: worker and run number.
         std::map<std::pair<std::uint32_t, std::uint32_t>, std::pair<jobs::worker_id, std::uint64_t>>
             running_runs;
@@ -87,6 +94,7 @@
     std::deque<std::string> notes_;
     std::uint64_t starts_ = 0;
     std::uint64_t crashes_ = 0;
+    time_point hosts_disturbed_until_{};
 };
 
 } // namespace papayafall::random_runs
--- a/packages/core/tests/random/jobs/job_world.hpp
+++ b/packages/core/tests/random/jobs/job_world.hpp
@@ -35,6 +35,7 @@
     job_run_summary run(std::chrono::seconds length);
 
     void on_answer(call_id call, jobs::job_outcome outcome) override;
+    void on_status(call_id call, jobs::job_status status) override;
     void on_disconnected(call_id call) override;
 
   private:
@@ -46,11 +47,20 @@
         time_point answer_by; ///< when the caller stops waiting
     };
 
+    /// A request of a caller to cancel a job.
+    struct cancellation {
+        jobs::job_spec job;
+        std::uint64_t attempts = 0; ///< that are left
+    };
+
     simulation_context context();
     void make_hosts();
     void make_workers();
     void schedule_submissions();
     void submit(const jobs::job_spec& job, std::uint64_t number);
+    /// The caller cancels a job at any host.
+    /// @param attempts how often it may ask again as long as it gets no definite answer
+    void cancel(const jobs::job_spec& job, std::uint64_t attempts);
     /// The caller closes its connection, unless it was answered; it may submit the job again.
     void leave(call_id call, dispatcher_model& host);
     void maybe_resubmit(const attempt& previous);
@@ -79,6 +89,7 @@
     std::map<jobs::worker_id, std::unique_ptr<worker_model>> workers_;
     std::map<host_name, std::unique_ptr<dispatcher_model>> hosts_;
     std::map<call_id, attempt> calls_;
+    std::map<call_id, cancellation> cancellations_;
     std::uint64_t last_call_ = 0;
     std::uint64_t last_job_ = 0;
     std::uint64_t faults_ = 0;
