--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -195,4 +195,12 @@
 
 using unmatched_call = value<unmatched_call_fields>;
 
+/// A caller's open job together with the call.
+struct job_call {
+    job_id job;
+    call_id call;
+
+    auto operator<=>(const job_call&) const = default;
+};
+
 } // namespace papayafall::jobs
