Start nothing on the workers of a zone that operators evacuate

Callers and operators saw: op/evacuate/ZONE was read nowhere, so that tasks went on starting in a zone that was being emptied.

Change: the mirror of the configuration follows all operators' keys; evacuation_controller keeps the newest request of each zone. Admission, placement, trials and the load that a dispatcher publishes leave the workers of such a zone out; waiting jobs are refused, so that their hosts ask another zone; started jobs may start their remaining tasks for 500 ms. Linked hosts tell one another, ordered by the revision of the request, for a host that is cut off from the store.

--- a/packages/core/include/papayafall/core/jobs/board/job_board.hpp
+++ b/packages/core/include/papayafall/core/jobs/board/job_board.hpp
@@ -7,6 +7,7 @@
 #include "papayafall/core/engine/engine.hpp"
 #include "papayafall/core/jobs/messages/job_action.hpp"
 #include "papayafall/core/jobs/messages/job_event.hpp"
+#include "papayafall/core/jobs/state/evacuation_state.hpp"
 #include "papayafall/core/jobs/state/job_state.hpp"
 #include "papayafall/core/jobs/state/lifecycle_state.hpp"
 #include "papayafall/core/jobs/state/membership_state.hpp"
@@ -75,6 +76,9 @@
     table<link_number, std::uint64_t> offered_configurations;
     cell<time_point> configuration_request_due{no_deadline};
 
+    // written by evacuation_controller
+    table<zone_name, evacuation_state> evacuations; ///< also those that have ended
+
     // written by directory_controller
     table<worker_id, worker> workers;
     table<worker_id, time_point> unlisted_workers; ///< instant at which each is removed
--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -44,6 +44,8 @@
     void interrupt_all_jobs(job_board& board, time_point now);
     /// Ends the waiting jobs of a host without workers, except those that may still be admitted.
     void end_jobs_without_workers(job_board& board, time_point now);
+    /// Ends the jobs with waiting tasks whose service has workers only in evacuated zones.
+    void end_jobs_in_evacuated_zones(job_board& board, time_point now);
     /// Decides whether jobs that are due for review go on waiting.
     void review_due_jobs(job_board& board, time_point now);
 
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
+#include "papayafall/core/jobs/values/zone_evacuation.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -140,6 +141,11 @@
     std::uint32_t crashes = 0;
 };
 
+/// Tells all linked hosts, now and when a link is opened, of a request to evacuate a zone.
+struct publish_evacuation {
+    zone_evacuation request;
+};
+
 // Actions towards the other hosts and the operators.
 
 /// Tells which version of the configuration is in force on this host from now on.
@@ -216,6 +222,6 @@
                  withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
                  request_configuration, send_configuration, publish_configuration_version,
                  publish_task_crashes, start_run, stop_run, fetch_report, close_worker_connections,
-                 set_readiness, stop_dispatcher, log_decision>;
+                 set_readiness, stop_dispatcher, log_decision, publish_evacuation>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_event.hpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
+#include "papayafall/core/jobs/values/zone_evacuation.hpp"
 
 #include <optional>
 #include <string>
@@ -29,6 +30,22 @@
 /// The store confirmed that the configuration last read is the newest.
 struct configuration_confirmed {};
 
+/// The store lists a request to evacuate a zone.
+struct zone_evacuation_listed {
+    zone_name zone;
+    store_revision revision;
+};
+
+/// A request to evacuate a zone was removed from the store.
+struct zone_evacuation_unlisted {
+    zone_name zone;
+};
+
+/// All requests to evacuate a zone that the store held at a revision were reported.
+struct zone_evacuations_confirmed {
+    store_revision as_of;
+};
+
 /// A worker was added to the store, or its entry has changed.
 struct worker_listed {
     worker entry;
@@ -164,6 +181,12 @@
     link_number link;
 };
 
+/// A linked host tells of a request to evacuate a zone, or of its end.
+struct zone_evacuation_reported {
+    zone_evacuation request;
+    host_name sender;
+};
+
 /// A linked host tells how many workers crashed while they ran a task.
 struct task_crashes_reported {
     task_id task;
@@ -350,6 +373,7 @@
     report_received, report_failed, stop_requested, process_resumed, process_stopping,
     cell_acquired, cell_lost, run_finished, run_stalled, run_time_measured, worker_runs_terminated,
     run_lost, worker_crashed_under_task, task_crashes_counted, worker_restarted,
-    worker_ownership_lost, job_finished, job_delegated, lease_extended>;
+    worker_ownership_lost, job_finished, job_delegated, lease_extended, zone_evacuation_listed,
+    zone_evacuation_unlisted, zone_evacuations_confirmed, zone_evacuation_reported>;
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <algorithm>
@@ -54,7 +55,7 @@
         const worker* entry = current_entry(board, it.key, it.value);
         const held_cell* held = board.held_cells.find(it.value.cell);
         if (entry == nullptr || held == nullptr || held->phase != cell_phase::held ||
-            (*entry)->service != order.service || (*entry)->draining) {
+            (*entry)->service != order.service || !accepts_new_jobs(board, **entry)) {
             continue;
         }
         const worker_load* load = board.worker_loads.find(it.key);
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -2,9 +2,13 @@
 
 #include "log_text.hpp"
 
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
+#include "papayafall/core/jobs/controllers/session_controller.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -37,6 +41,23 @@
          {"objective_ms", milliseconds_of(order.objective_deadline - order.received_at)}}});
 }
 
+/// Whether the job's service has workers in evacuated zones and none that may get its tasks.
+bool has_only_evacuated_workers(const job_board& board, const job_state_fields& job, time_point now)
+{
+    bool evacuated = false;
+    for (const auto& it : board.sessions) {
+        const worker* entry = current_entry(board, it.key, it.value);
+        if (entry == nullptr || (*entry)->service != job.order->service) {
+            continue;
+        }
+        if (accepts_tasks_of(board, **entry, job, now)) {
+            return false;
+        }
+        evacuated = evacuated || is_evacuated(board, (*entry)->zone);
+    }
+    return evacuated;
+}
+
 } // namespace
 
 dispatch_controller::dispatch_controller(job_board& board,
@@ -100,6 +121,7 @@
     repeat_due_stops(board, now.steady);
     start_waiting_tasks(board, now.steady);
     review_due_jobs(board, now.steady);
+    end_jobs_in_evacuated_zones(board, now.steady);
     if (board.sessions.empty() && !board.jobs.empty()) {
         end_jobs_without_workers(board, now.steady);
     }
@@ -260,6 +282,26 @@
     }
 }
 
+void dispatch_controller::end_jobs_in_evacuated_zones(job_board& board, time_point now)
+{
+    const bool evacuating = std::any_of(board.evacuations.begin(), board.evacuations.end(),
+                                        [](const auto& it) { return !it.value.request.ended; });
+    if (!evacuating || board.waiting_ranks.empty()) {
+        return;
+    }
+    std::set<job_number> ended;
+    for (const auto& it : board.waiting_ranks) {
+        const job_state& job = *board.jobs.find(it.key.job);
+        if (!ended.contains(it.key.job) && has_only_evacuated_workers(board, *job, now)) {
+            ended.insert(it.key.job);
+        }
+    }
+    for (const job_number it : ended) {
+        const bool started = (*board.jobs.find(it))->started;
+        finish_job(board, it, started ? job_outcome::interrupted : job_outcome::refused, now);
+    }
+}
+
 void dispatch_controller::review_due_jobs(job_board& board, time_point now)
 {
     while (const auto due = board.jobs.expired(now)) {
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <algorithm>
@@ -73,7 +74,8 @@
     }
     const worker* entry = current_entry(board, id, *session);
     const job_order_fields& order = *(*board.jobs.find(task.job))->order;
-    return entry != nullptr && !(*entry)->draining && (*entry)->service == order.service &&
+    return entry != nullptr && accepts_new_jobs(board, **entry) &&
+           (*entry)->service == order.service &&
            order.job->steps[task.step].need.fits((*entry)->capacity) && !board.trials.contains(id);
 }
 
@@ -109,7 +111,7 @@
         const worker* entry = current_entry(board, it.key, it.value);
         const held_cell* held = board.held_cells.find(it.value.cell);
         if (it.value.phase != session_phase::ready || entry == nullptr || held == nullptr ||
-            (*entry)->draining || (*entry)->service != order.service) {
+            !accepts_tasks_of(board, **entry, job, now) || (*entry)->service != order.service) {
             continue;
         }
         if (held->phase != cell_phase::held && !job.started) {
--- a/packages/core/src/jobs/controllers/peer_controller.cpp
+++ b/packages/core/src/jobs/controllers/peer_controller.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/peer_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 #include "papayafall/core/policies/rendezvous_hash.hpp"
 
@@ -90,7 +91,8 @@
     }
     for (const auto& it : board.sessions) {
         const worker* entry = current_entry(board, it.key, it.value);
-        if (entry == nullptr || it.value.phase != session_phase::ready || (*entry)->draining) {
+        if (entry == nullptr || it.value.phase != session_phase::ready ||
+            !accepts_new_jobs(board, **entry)) {
             continue;
         }
         const worker_load* used = board.worker_loads.find(it.key);
--- a/packages/core/src/jobs/engine/job_engine.cpp
+++ b/packages/core/src/jobs/engine/job_engine.cpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
 #include "papayafall/core/jobs/controllers/directory_controller.hpp"
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
 #include "papayafall/core/jobs/controllers/health_controller.hpp"
 #include "papayafall/core/jobs/controllers/intake_controller.hpp"
 #include "papayafall/core/jobs/controllers/lifecycle_controller.hpp"
@@ -33,6 +34,7 @@
     auto board = std::make_unique<job_board>(self, parameters);
     std::vector<std::unique_ptr<job_controller>> controllers;
     controllers.push_back(std::make_unique<job_configuration_controller>(*board));
+    controllers.push_back(std::make_unique<evacuation_controller>(*board));
     controllers.push_back(std::make_unique<directory_controller>(*board));
     controllers.push_back(std::make_unique<job_lifecycle_controller>(*board));
     controllers.push_back(std::make_unique<peer_controller>(*board));
--- a/packages/core/tests/random/jobs/dispatcher_actions.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_actions.cpp
@@ -140,6 +140,12 @@
     send_to_all(jobs::task_crashes_reported{it.task, it.crashes});
 }
 
+void dispatcher_model::perform(const jobs::publish_evacuation& it)
+{
+    published_evacuations_[it.request.zone] = it.request;
+    send_to_all(jobs::zone_evacuation_reported{it.request, self_.host});
+}
+
 void dispatcher_model::send_to_all(const jobs::job_event& it)
 {
     for (const auto& [host, link] : outgoing_links_) {
@@ -191,6 +197,7 @@
 
 void dispatcher_model::perform(const jobs::start_run& it)
 {
+    check_evacuation(it);
     call(
         it.to.id, it.timeout_at,
         jobs::start_answered{it.to.id, it.run, jobs::start_result::unanswered},
--- a/packages/core/tests/random/jobs/dispatcher_model.cpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.cpp
@@ -36,6 +36,9 @@
               .incarnation = self_.incarnation,
               .cpu_millis = self_.cpu_millis};
     last_store_configuration_ = 0;
+    last_evacuations_.clear();
+    evacuated_since_.clear();
+    published_evacuations_.clear();
     outdated_since_ = no_deadline;
     tick(generation_);
     poll_store(generation_);
@@ -189,6 +192,7 @@
                 context_.store.put_host(entry_, lease_);
             }
             read_configuration();
+            read_evacuations();
             read_store();
         } else if (store_reachable_ &&
                    context_.time.now() >= last_store_contact_at_ + store_timeout) {
@@ -249,6 +253,41 @@
     }
 }
 
+void dispatcher_model::read_evacuations()
+{
+    const std::map<zone_name, jobs::store_revision> current = context_.store.evacuations();
+    const auto previous = std::exchange(last_evacuations_, current);
+    for (const auto& [zone, revision] : previous) {
+        if (!current.contains(zone)) {
+            evacuated_since_.erase(zone);
+            deliver(jobs::zone_evacuation_unlisted{zone});
+        }
+    }
+    for (const auto& [zone, revision] : current) {
+        const auto known = previous.find(zone);
+        if (known == previous.end() || known->second != revision) {
+            evacuated_since_[zone] = context_.time.now();
+            deliver(jobs::zone_evacuation_listed{zone, revision});
+        }
+    }
+    deliver(jobs::zone_evacuations_confirmed{context_.store.revision()});
+}
+
+void dispatcher_model::check_evacuation(const jobs::start_run& it) const
+{
+    constexpr duration max_delay = milliseconds(600);
+    const zone_name zone = context_.workers.at(it.to.id)->entry().zone;
+    const auto known = last_evacuations_.find(zone);
+    const auto current = context_.store.evacuations().find(zone);
+    if (known == last_evacuations_.end() || current == context_.store.evacuations().end() ||
+        known->second != current->second) {
+        return; // not read yet, or taken back, which a linked host may have told
+    }
+    if (context_.time.now() > evacuated_since_.at(zone) + max_delay) {
+        context_.history.fail(name() + " sends a start to an evacuated zone", context_.time.now());
+    }
+}
+
 void dispatcher_model::read_configuration()
 {
     const std::uint64_t version = context_.store.configuration_version();
@@ -323,6 +362,12 @@
     found->second->accept(link);
     link->open();
     link->send_to_accepter(jobs::configuration_offered{link->number(), configuration_version()});
+    for (const auto& [zone, it] : published_evacuations_) {
+        link->send_to_accepter(jobs::zone_evacuation_reported{it, self_.host});
+    }
+    for (const auto& [zone, it] : found->second->published_evacuations_) {
+        link->send_to_opener(jobs::zone_evacuation_reported{it, found->second->self_.host});
+    }
     link->send_to_opener(
         jobs::configuration_offered{link->number(), found->second->configuration_version()});
 }
--- a/packages/core/tests/random/jobs/dispatcher_model.hpp
+++ b/packages/core/tests/random/jobs/dispatcher_model.hpp
@@ -85,6 +85,9 @@
     void poll_store(std::uint64_t generation);
     void read_store();
     void read_configuration();
+    void read_evacuations();
+    /// Fails if a start is sent to a zone long after this host has read of its evacuation.
+    void check_evacuation(const jobs::start_run& it) const;
     /// Function that sends to the other end of a link.
     std::function<void(const jobs::job_event&)> sender_of(jobs::link_number number) const;
     void reconnect_links(std::uint64_t generation);
@@ -105,6 +108,7 @@
     void perform(const jobs::release_worker& it);
     void perform(const jobs::publish_configuration_version& it);
     void perform(const jobs::publish_task_crashes& it);
+    void perform(const jobs::publish_evacuation& it);
     void perform(const jobs::request_configuration& it);
     void send_to_all(const jobs::job_event& it);
     void perform(const jobs::send_configuration& it);
@@ -148,6 +152,9 @@
     store_model::lease_id lease_ = 0;
     bool store_reachable_ = false;
     time_point last_store_contact_at_{};
+    std::map<zone_name, jobs::store_revision> last_evacuations_; ///< as last read in the store
+    std::map<zone_name, time_point> evacuated_since_; ///< when each was first read in the store
+    std::map<zone_name, jobs::zone_evacuation> published_evacuations_;
     std::uint64_t last_store_configuration_ = 0;
     time_point outdated_since_ = no_deadline; ///< a linked host has had a newer configuration
     std::map<std::string, jobs::host_entry> configured_peers_;
--- a/packages/core/tests/random/jobs/job_world.cpp
+++ b/packages/core/tests/random/jobs/job_world.cpp
@@ -88,6 +88,7 @@
         schedule_submissions();
         schedule_faults();
         schedule_configuration_changes();
+        schedule_evacuations();
     });
     schedule_configuration_checks();
     time_.run(time_.now() + warm_up_time + length);
@@ -217,6 +218,19 @@
     time_.after(rng_.milliseconds(100, 8000), [this] { schedule_configuration_changes(); });
 }
 
+void job_world::schedule_evacuations()
+{
+    if (draining_) {
+        return;
+    }
+    const zone_name zone(zones[rng_.between(0, zones.size() - 1)]);
+    history_.note("evacuation of " + zone.text(), time_.now());
+    store_.evacuate(zone, true);
+    const duration length = rng_.milliseconds(1000, 9000);
+    time_.after(length, [this, zone] { store_.evacuate(zone, false); });
+    time_.after(length + rng_.milliseconds(500, 9000), [this] { schedule_evacuations(); });
+}
+
 void job_world::schedule_configuration_checks()
 {
     constexpr duration check_period = milliseconds(100);
--- a/packages/core/tests/random/jobs/job_world.hpp
+++ b/packages/core/tests/random/jobs/job_world.hpp
@@ -59,6 +59,8 @@
     void inject_fault();
     void schedule_configuration_changes();
     void schedule_configuration_checks();
+    /// Evacuates zones, and takes it back some seconds later.
+    void schedule_evacuations();
     void kill_host(dispatcher_model& host);
     void cut_network_paths();
     void make_store_unavailable();
--- a/packages/core/tests/random/jobs/store_model.cpp
+++ b/packages/core/tests/random/jobs/store_model.cpp
@@ -81,6 +81,16 @@
     return revision;
 }
 
+void store_model::evacuate(const zone_name& zone, bool evacuated)
+{
+    ++revision_;
+    if (evacuated) {
+        evacuations_[zone] = revision();
+    } else {
+        evacuations_.erase(zone);
+    }
+}
+
 void store_model::release(const jobs::release_cell& request)
 {
     expire_leases();
--- a/packages/core/tests/random/jobs/store_model.hpp
+++ b/packages/core/tests/random/jobs/store_model.hpp
@@ -53,6 +53,17 @@
 
     void change_configuration() { ++configuration_version_; }
 
+    /// Asks the hosts to start nothing more in a zone, or takes this back.
+    void evacuate(const zone_name& zone, bool evacuated);
+
+    /// Revision of the request to evacuate each zone.
+    const std::map<zone_name, jobs::store_revision>& evacuations() const noexcept
+    {
+        return evacuations_;
+    }
+
+    jobs::store_revision revision() const noexcept { return jobs::store_revision(revision_); }
+
     /// Returns all entries whose leases have not expired.
     const std::map<std::string, item>& items();
 
@@ -64,6 +75,7 @@
     bool up_ = true;
     std::uint64_t revision_ = 0;
     std::uint64_t configuration_version_ = 1;
+    std::map<zone_name, jobs::store_revision> evacuations_;
     lease_id last_lease_ = 0;
     std::map<lease_id, time_point> leases_; ///< expiry of each lease
     std::map<std::string, item> items_;
--- a/packages/core/tests/random/jobs/worker_model.cpp
+++ b/packages/core/tests/random/jobs/worker_model.cpp
@@ -68,6 +68,9 @@
 
 jobs::start_result worker_model::start(const jobs::start_run& request)
 {
+    if (request.worker_started_at_ms != entry_.started_at_ms) {
+        return jobs::start_result::other_instance;
+    }
     if (!accepts(request.to.token)) {
         return jobs::start_result::fenced;
     }
--- a/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
+++ b/packages/daemon/include/papayafall/daemon/jobs/job_links.hpp
@@ -72,6 +72,9 @@
     /// Tells all linked hosts how many workers crashed under a task.
     void publish(const publish_task_crashes& action);
 
+    /// Tells all linked hosts, now and when a link is opened, of a request to evacuate a zone.
+    void publish(const publish_evacuation& action);
+
     /// Asks the host at the other end of a link for its configuration.
     void request(const request_configuration& action);
 
@@ -100,7 +103,8 @@
     std::map<host_name, std::unique_ptr<outgoing_link>> outgoing_links_;
     std::map<link_number, std::unique_ptr<incoming_link>> incoming_links_;
     link_number last_link_number_;
-    std::uint64_t configuration_version_ = 0; ///< in force here; 0: none
+    std::uint64_t configuration_version_ = 0;          ///< in force here; 0: none
+    std::map<zone_name, zone_evacuation> evacuations_; ///< newest request for each zone
 };
 
 } // namespace papayafall::jobs
--- a/packages/daemon/src/jobs/job_link.hpp
+++ b/packages/daemon/src/jobs/job_link.hpp
@@ -96,12 +96,15 @@
     }
 
   protected:
-    /// Tells the other end which version of the configuration is in force here.
-    void write_configuration_version()
+    /// Tells the other end what the operators have asked for, as far as it is known here.
+    void write_operator_requests()
     {
         if (owner_.configuration_version_ > 0) {
             write(link_configuration_version{owner_.configuration_version_});
         }
+        for (const auto& [zone, it] : owner_.evacuations_) {
+            write(link_evacuation{it});
+        }
     }
 
     void set_peer(const host_name& host) { peer_ = host; }
@@ -141,6 +144,10 @@
             owner_.events_.post(task_crashes_reported{it->task, it->crashes});
             return true;
         }
+        if (const auto* it = std::get_if<link_evacuation>(&message)) {
+            owner_.events_.post(zone_evacuation_reported{it->request, peer_});
+            return true;
+        }
         return false;
     }
 
@@ -215,7 +222,7 @@
             handshake_done_ = true;
             set_peer(it->host);
             owner().events_.post(peer_connected{it->host, it->incarnation});
-            write_configuration_version();
+            write_operator_requests();
         }
         if (const auto* it = std::get_if<link_load>(&message)) {
             owner().events_.post(load_reported{entry_.host, it->load});
@@ -255,7 +262,7 @@
             set_peer(it->host);
             write(link_hello{owner().options_.host, owner().options_.incarnation});
             owner().events_.post(delegator_connected{number()});
-            write_configuration_version();
+            write_operator_requests();
         }
         if (const auto* it = std::get_if<link_delegation>(&message)) {
             owner().events_.post(delegation_received{{number(), it->delegation}, it->order});
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -113,6 +113,12 @@
     write_to_all(link_task_crashes{action.task, action.crashes});
 }
 
+void job_links::publish(const publish_evacuation& action)
+{
+    evacuations_[action.request.zone] = action.request;
+    write_to_all(link_evacuation{action.request});
+}
+
 void job_links::write_to_all(const job_message& message)
 {
     const time_point now = steady_now();
--- a/packages/daemon/tests/jobs/unit-job_links.cpp
+++ b/packages/daemon/tests/jobs/unit-job_links.cpp
@@ -83,11 +83,31 @@
     CPPUNIT_TEST(malformed_bytes_end_only_their_own_link);
     CPPUNIT_TEST(the_configuration_goes_over_a_link_in_either_direction);
     CPPUNIT_TEST(a_configuration_that_fits_no_frame_is_not_sent);
+    CPPUNIT_TEST(evacuations_are_told_now_and_over_new_links);
     CPPUNIT_TEST_SUITE_END();
 
   public:
     void setUp() override { ensure_application(); }
 
+    void evacuations_are_told_now_and_over_new_links()
+    {
+        recording_sink sender_events;
+        recording_sink receiver_events;
+        job_links sender(options_of("e-1", std::chrono::seconds(60)), sender_events);
+        job_links receiver(options_of("e-2", std::chrono::seconds(60)), receiver_events);
+        zone_evacuation request{.zone = zone_name("a"), .revision = store_revision(7)};
+        receiver.publish(publish_evacuation{request});
+        sender.connect(entry_of("e-2", receiver.port()));
+        CPPUNIT_ASSERT(
+            run_until([&] { return sender_events.count<zone_evacuation_reported>() == 1; }));
+        CPPUNIT_ASSERT(sender_events.last<zone_evacuation_reported>()->request == request);
+        request.ended = true;
+        sender.publish(publish_evacuation{request});
+        CPPUNIT_ASSERT(
+            run_until([&] { return receiver_events.count<zone_evacuation_reported>() == 1; }));
+        CPPUNIT_ASSERT(receiver_events.last<zone_evacuation_reported>()->request == request);
+    }
+
     void a_delegated_job_is_answered_over_its_link()
     {
         recording_sink sender_events;
--- a/packages/wire/include/papayafall/wire/jobs/job_message.hpp
+++ b/packages/wire/include/papayafall/wire/jobs/job_message.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/jobs/values/job_refusal.hpp"
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
+#include "papayafall/core/jobs/values/zone_evacuation.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -92,12 +93,19 @@
     auto operator<=>(const link_task_crashes&) const = default;
 };
 
+/// Tells of a request to evacuate a zone, or of its end.
+struct link_evacuation {
+    zone_evacuation request;
+
+    auto operator<=>(const link_evacuation&) const = default;
+};
+
 /// Any message between dispatchers on a job link. The index of an alternative is its number on the
 /// wire.
 using job_message =
     std::variant<link_hello, link_keepalive, link_load, link_delegation, link_withdrawal,
                  link_outcome, link_release, link_configuration_version, link_configuration_request,
-                 link_configuration, link_task_crashes>;
+                 link_configuration, link_task_crashes, link_evacuation>;
 
 /// Maximum frame size in bytes, including the size field.
 inline constexpr std::size_t max_job_frame_size = std::size_t{1} << 20U;
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -168,6 +168,19 @@
     archive(it.task, it.crashes);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, zone_evacuation& it)
+{
+    auto& [zone, revision, ended] = it;
+    archive(zone, revision, ended);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_evacuation& it)
+{
+    archive(it.request);
+}
+
 } // namespace papayafall::detail
 
 namespace papayafall::jobs {
--- a/packages/wire/tests/jobs/unit-job_message.cpp
+++ b/packages/wire/tests/jobs/unit-job_message.cpp
@@ -67,6 +67,8 @@
             link_outcome{delegation_id(10),
                          job_outcome::refused,
                          {refusal_reason::displaced, now + std::chrono::seconds(2)}},
+            link_evacuation{
+                {.zone = zone_name("zone-a"), .revision = store_revision(12), .ended = true}},
             link_release{worker_id("w-1")},
             link_configuration_version{12},
             link_configuration_request{},
