--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -45,6 +45,8 @@
     void interrupt_all_jobs(job_board& board, time_point now);
     /// Ends the waiting jobs of a host without workers, except those that may still be admitted.
     void end_jobs_without_workers(job_board& board, time_point now);
+    /// Ends the jobs with waiting tasks whose service has workers only in evacuated zones.
+    void end_jobs_in_evacuated_zones(job_board& board, time_point now);
     /// Reviews the jobs whose decision deadline or last useful start has come.
     void review_due_jobs(job_board& board, time_point now);
     void review_unstarted_job(job_board& board, job_number number, time_point now);
--- a/packages/core/include/papayafall/core/jobs/controllers/place_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/place_controller.hpp
@@ -22,7 +22,7 @@
 
   private:
     /// Indexes again the workers that were changed. Complexity: logarithmic in the number of
-    /// workers for each of them; linear if the held cells have changed.
+    /// workers for each of them; linear if the held cells or the evacuated zones have changed.
     void refresh(job_board& board);
     void index_worker(job_board& board, const worker_id& id);
     void add_to_sums(job_board& board, const indexed_worker& it, bool added);
@@ -33,6 +33,7 @@
     table_changes<worker_id, worker> changed_entries_;
     table_changes<worker_id, worker_load> changed_loads_;
     table_changes<cell_id, held_cell> changed_cells_;
+    table_changes<zone_name, evacuation_state> changed_evacuations_;
     table_writer<worker_id, indexed_worker> indexed_workers_;
     table_writer<free_capacity_key, resources> free_capacities_;
     table_writer<service_name, service_capacity> service_capacities_;
--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -6,6 +6,7 @@
 #include "papayafall/core/jobs/values/membership.hpp"
 #include "papayafall/core/jobs/values/queue_configuration.hpp"
 #include "papayafall/core/jobs/values/worker.hpp"
+#include "papayafall/core/jobs/values/zone_evacuation.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -174,6 +175,11 @@
     bool found = false;
 };
 
+/// Tells all linked hosts, now and when a link is opened, of a request to evacuate a zone.
+struct publish_evacuation {
+    zone_evacuation request;
+};
+
 // Actions towards the other hosts and the operators.
 
 /// Tells which version of the configuration is in force on this host from now on.
@@ -244,13 +250,12 @@
     std::vector<std::pair<const char*, std::string>> inputs;
 };
 
-using job_action =
-    std::variant<answer_job, answer_queue_length, answer_job_status, follow_workers, claim_cell,
-                 release_cell, update_host_entry, connect_peer, disconnect_peer, delegate_job,
-                 withdraw_delegation, answer_delegation, publish_load, release_worker, close_links,
-                 request_configuration, send_configuration, publish_configuration_version,
-                 publish_task_crashes, publish_cancellation, send_cancellation,
-                 request_cancellation, answer_cancellation, start_run, stop_run, fetch_report,
-                 close_worker_connections, set_readiness, stop_dispatcher, log_decision>;
+using job_action = std::variant<
+    answer_job, answer_queue_length, answer_job_status, follow_workers, claim_cell, release_cell,
+    update_host_entry, connect_peer, disconnect_peer, delegate_job, withdraw_delegation,
+    answer_delegation, publish_load, release_worker, close_links, request_configuration,
+    send_configuration, publish_configuration_version, publish_task_crashes, publish_cancellation,
+    send_cancellation, request_cancellation, answer_cancellation, publish_evacuation, start_run,
+    stop_run, fetch_report, close_worker_connections, set_readiness, stop_dispatcher, log_decision>;
 
 } // namespace papayafall::jobs
--- a/packages/core/include/papayafall/core/jobs/state/place_index.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/place_index.hpp
@@ -22,7 +22,8 @@
     resources capacity;
     resources free;          ///< not used by runs of this host
     bool ready = false;      ///< can be given runs
-    bool takes_jobs = false; ///< its cell is held, so that it is given runs of new jobs, too
+    bool takes_jobs = false; ///< its cell is held and its zone not evacuated, so that it is
+                             ///< given runs of new jobs, too
 
     auto operator<=>(const indexed_worker&) const = default;
 };
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -1,6 +1,7 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
 #include "papayafall/core/jobs/controllers/crash_controller.hpp"
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
 #include "papayafall/core/jobs/controllers/place_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 #include "papayafall/core/jobs/controllers/speed_controller.hpp"
@@ -39,7 +40,8 @@
 
 /// Entry of the worker if it could run tasks of the step were it idle, or nullptr.
 const worker_fields* suitable_entry(const job_board& board, const worker_id& id,
-                                    const job_state_fields& job, const job_step& step)
+                                    const job_state_fields& job, const job_step& step,
+                                    time_point now)
 {
     const worker_session* session = board.sessions.find(id);
     if (session == nullptr || session->phase != session_phase::ready) {
@@ -48,6 +50,7 @@
     const worker* entry = usable_entry(board, id, *session);
     const held_cell* held = board.held_cells.find(session->cell);
     if (entry == nullptr || held == nullptr || (*entry)->service != job.order->service ||
+        !accepts_tasks_of(board, **entry, job, now) ||
         (held->phase != cell_phase::held && !job.started)) {
         return nullptr;
     }
@@ -159,7 +162,8 @@
     }
     const worker* entry = usable_entry(board, id, *session);
     const job_order_fields& order = *(*board.jobs.find(task.job))->order;
-    return entry != nullptr && (*entry)->service == order.service &&
+    return entry != nullptr && accepts_new_jobs(board, **entry) &&
+           (*entry)->service == order.service &&
            order.job->steps[task.step].need.fits((*entry)->capacity) && !board.trials.contains(id);
 }
 
@@ -238,7 +242,7 @@
              {.service = order.service, .free_cpu_millis = step.need.cpu_millis});
          it != board.free_capacities.end() && it->key.service == order.service; ++it) {
         const worker_id& id = it->key.worker;
-        const worker_fields* entry = suitable_entry(board, id, job, step);
+        const worker_fields* entry = suitable_entry(board, id, job, step, now);
         if (entry == nullptr) {
             continue;
         }
@@ -274,7 +278,7 @@
              {.service = order.service, .free_cpu_millis = least});
          it != board.free_capacities.end() && it->key.service == order.service; ++it) {
         const worker_id& id = it->key.worker;
-        if (!is_avoided(id) && suitable_entry(board, id, job, step) != nullptr) {
+        if (!is_avoided(id) && suitable_entry(board, id, job, step, now) != nullptr) {
             std::erase_if(found, [](const placement_candidate& other) { return other.avoided; });
             break;
         }
--- a/packages/core/src/jobs/controllers/place_controller.cpp
+++ b/packages/core/src/jobs/controllers/place_controller.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/place_controller.hpp"
 
+#include "papayafall/core/jobs/controllers/evacuation_controller.hpp"
 #include "papayafall/core/jobs/controllers/session_controller.hpp"
 
 #include <chrono>
@@ -47,12 +48,14 @@
                           .capacity = capacity,
                           .free = load == nullptr ? capacity : capacity - load->used,
                           .ready = session->phase == session_phase::ready,
-                          .takes_jobs = held->phase == cell_phase::held};
+                          .takes_jobs =
+                              held->phase == cell_phase::held && accepts_new_jobs(board, **entry)};
 }
 
 place_controller::place_controller(job_board& board)
     : changed_sessions_(board.sessions.follow()), changed_entries_(board.workers.follow()),
       changed_loads_(board.worker_loads.follow()), changed_cells_(board.held_cells.follow()),
+      changed_evacuations_(board.evacuations.follow()),
       indexed_workers_(board.indexed_workers.claim()),
       free_capacities_(board.free_capacities.claim()),
       service_capacities_(board.service_capacities.claim()),
@@ -82,7 +85,9 @@
          {changed_sessions_.take(), changed_entries_.take(), changed_loads_.take()}) {
         changed.insert(it.begin(), it.end());
     }
-    if (!changed_cells_.take().empty()) {
+    const bool cells_changed = !changed_cells_.take().empty();
+    const bool evacuations_changed = !changed_evacuations_.take().empty();
+    if (cells_changed || evacuations_changed) {
         for (const auto& it : board.sessions) {
             changed.insert(it.key);
         }
--- a/packages/core/src/jobs/policies/place_forecast.cpp
+++ b/packages/core/src/jobs/policies/place_forecast.cpp
@@ -47,7 +47,9 @@
 
     bool operator()(const worker_id& id) const
     {
-        return !(skips_avoided_ && is_avoided(board_, id, now_)) && !board_.trials.contains(id) &&
+        const indexed_worker* indexed = board_.indexed_workers.find(id);
+        return indexed != nullptr && indexed->takes_jobs &&
+               !(skips_avoided_ && is_avoided(board_, id, now_)) && !board_.trials.contains(id) &&
                id != *board_.reserved_worker;
     }
 
--- a/packages/daemon/src/jobs/job_links.cpp
+++ b/packages/daemon/src/jobs/job_links.cpp
@@ -140,6 +140,12 @@
     }
 }
 
+void job_links::publish(const publish_evacuation& action)
+{
+    evacuations_[action.request.zone] = action.request;
+    write_to_all(link_evacuation{action.request});
+}
+
 void job_links::write_to_all(const job_message& message)
 {
     const time_point now = steady_now();
--- a/packages/wire/src/jobs/job_message.cpp
+++ b/packages/wire/src/jobs/job_message.cpp
@@ -193,6 +193,19 @@
     archive(it.job, it.found);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, zone_evacuation& it)
+{
+    auto& [zone, revision, ended] = it;
+    archive(zone, revision, ended);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, link_evacuation& it)
+{
+    archive(it.request);
+}
+
 } // namespace papayafall::detail
 
 namespace papayafall::jobs {
