Count free cores wherever they lie, and let the head of the queue wait for places

The forecast counted only whole free places, and spread the rest of the job's work over the whole capacity, so that wide jobs had to start earlier than small ones to be admitted.

Change: free cores count as a sum for the new job, and a waiting job with no other ahead of it is not held to be late because it is wide.

--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -28,6 +28,7 @@
 struct service_capacity {
     std::int64_t controlled = 0; ///< by this host, in thousandths of a core
     std::int64_t reachable = 0;  ///< part of it on workers that answer
+    std::int64_t free = 0;       ///< part of it that no run occupies, on workers that take runs
 
     auto operator<=>(const service_capacity&) const = default;
 };
@@ -45,6 +46,10 @@
         const std::int64_t capacity = (*entry)->capacity.cpu_millis;
         sum.controlled += capacity;
         sum.reachable += it.value.phase == session_phase::unreachable ? 0 : capacity;
+        if (it.value.phase == session_phase::ready) {
+            const worker_load* load = board.worker_loads.find(it.key);
+            sum.free += capacity - (load == nullptr ? 0 : load->used.cpu_millis);
+        }
     }
     return sum;
 }
@@ -146,9 +151,13 @@
     }
     const job_step& step = widest_step(*order.job);
     const place_forecast places = forecast_places(board, order.service, step.need, step.count, now);
-    const std::int64_t missing = std::int64_t{step.count} - std::min(places.free_now, step.count);
+    // Free cores count wherever they lie. If only whole places did, a job of wide tasks would be
+    // refused while small tasks go on filling the pieces.
+    const std::int64_t free = std::max<std::int64_t>(capacity_of(board, order.service).free, 0);
+    const std::int64_t missing =
+        std::max<std::int64_t>(step.need.cpu_millis * std::int64_t{step.count} - free, 0);
     request.unplaced_work.microseconds =
-        missing * step.need.cpu_millis / 1000 * expected_run_time(board, order.queue, step).count();
+        missing / 1000 * expected_run_time(board, order.queue, step).count();
     request.room_at = places.available_at;
     return request;
 }
--- a/packages/core/src/jobs/policies/least_cost_admission.cpp
+++ b/packages/core/src/jobs/policies/least_cost_admission.cpp
@@ -55,7 +55,7 @@
         std::size_t late_jobs = 0;
         for (std::size_t n = 0; n < entries_.size(); ++n) {
             const entry& it = entries_[n];
-            const std::int64_t own_work = own_work_of(it);
+            const std::int64_t own_work = own_work_of(it, work);
             if (it.requested && n + 1 == entries_.size()) {
                 work += queue_.work_beyond.microseconds; // its place among them is not known
             }
@@ -127,15 +127,19 @@
         entries_.push_back({.job = request_->job, .requested = true});
     }
 
-    /// Work of the job that has to start before its last task.
-    std::int64_t own_work_of(const entry& it) const
+    /// Work of the job that has to start before its last task. A job with no other ahead of it gets
+    /// the next places, however wide it is.
+    std::int64_t own_work_of(const entry& it, std::int64_t work_ahead) const
     {
-        return it.requested ? request_->unplaced_work.microseconds : it.job.work.microseconds;
+        if (it.requested) {
+            return request_->unplaced_work.microseconds;
+        }
+        return work_ahead > 0 ? it.job.work.microseconds : 0;
     }
 
     time_point start_of(const entry& it, std::int64_t work_ahead) const
     {
-        const time_point start = queue_.starts_at({work_ahead + own_work_of(it)});
+        const time_point start = queue_.starts_at({work_ahead + own_work_of(it, work_ahead)});
         return it.requested ? std::max(start, request_->room_at) : start;
     }
 
