--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -126,9 +126,14 @@
     }
     const job_step& step = widest_step(*order.job);
     const place_forecast places = forecast_places(board, order.service, step.need, step.count, now);
-    const std::int64_t missing = std::int64_t{step.count} - std::min(places.free_now, step.count);
+    // Free cores count wherever they lie. If only whole places did, a job of wide tasks would be
+    // refused while small tasks go on filling the pieces.
+    const std::int64_t free =
+        std::max<std::int64_t>(capacity_of(board, order.service).free_cpu_millis, 0);
+    const std::int64_t missing =
+        std::max<std::int64_t>(step.need.cpu_millis * std::int64_t{step.count} - free, 0);
     request.unplaced_work.microseconds =
-        missing * step.need.cpu_millis / 1000 * expected_run_time(board, order.queue, step).count();
+        missing / 1000 * expected_run_time(board, order.queue, step).count();
     // More tasks than the runs in progress leave places for start in several turns, by the work
     // ahead.
     request.room_at = places.available_at == no_deadline ? now : places.available_at;
