--- a/packages/daemon/src/kept/http_connection_pool.cpp
+++ b/packages/daemon/src/kept/http_connection_pool.cpp
@@ -103,8 +103,9 @@
 
 void http_connection_pool::send_check(persistent_connection& connection, waiting_call call)
 {
-    const auto check = call.check;
-    connection.send(check->request(), call.deadline,
+    const http_request_message request = call.check->request();
+    const time_point deadline = call.deadline;
+    connection.send(request, deadline,
                     [this, &connection, call = std::move(call)](const exchange_result& result) {
                         if (result.error == exchange_error::none) {
                             connection.set_process(call.check->process_in(result.reply));
