--- a/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
+++ b/packages/core/include/papayafall/core/jobs/messages/job_action.hpp
@@ -91,9 +91,8 @@
     delegation_id delegation;
     job_order order;
     bool same_zone = false; ///< the dispatcher is in this host's zone
-    /// Why the job was refused by the dispatcher that it was handed to before; `none`: it was not.
-    refusal_reason previous_refusal = refusal_reason::none;
     bool handed_on = false; ///< another dispatcher has refused the job
+    refusal_reason previous_refusal = refusal_reason::none; ///< of that dispatcher
 };
 
 /// Cancels a delegated job.
--- a/packages/core/src/jobs/controllers/intake_controller.cpp
+++ b/packages/core/src/jobs/controllers/intake_controller.cpp
@@ -297,8 +297,8 @@
                                    .delegation = delegation,
                                    .order = accepted->order,
                                    .same_zone = to.same_zone,
-                                   .previous_refusal = accepted->last_refusal,
-                                   .handed_on = !accepted->refused_by.empty()});
+                                   .handed_on = !accepted->refused_by.empty(),
+                                   .previous_refusal = accepted->last_refusal});
     const dispatch_demand demand = demand_of(*accepted->order->job);
     board.raised.post(job_delegated{to.host, demand.cpu_millis * demand.tasks});
 }
--- a/packages/core/tests/jobs/unit-dispatcher_selection.cpp
+++ b/packages/core/tests/jobs/unit-dispatcher_selection.cpp
@@ -169,9 +169,9 @@
     {
         dispatcher_candidate it = make_candidate("a", make_load(12));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{12}, free_places(it, make_demand(1), start));
-        it.sent_cpu_millis = 5 * 2 * task_cpu_millis;
+        it.sent_cpu_millis = task_cpu_millis * 2 * 5;
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, free_places(it, make_demand(1), start));
-        it.sent_cpu_millis = 10 * 2 * task_cpu_millis;
+        it.sent_cpu_millis = task_cpu_millis * 2 * 10;
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, free_places(it, make_demand(1), start));
     }
 
--- a/packages/core/tests/jobs/unit-job_handover.cpp
+++ b/packages/core/tests/jobs/unit-job_handover.cpp
@@ -12,6 +12,9 @@
 using std::chrono::seconds;
 using test_support::job_fixture;
 
+/// Demand of the tasks of `job_fixture::make_job`.
+constexpr std::int64_t task_cpu_millis = 27'000;
+
 /// A host without workers whose callers' jobs go to other dispatchers.
 class job_handover_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(job_handover_test);
@@ -182,8 +185,8 @@
     void report_load(const std::string& host, std::uint32_t places)
     {
         load_report load{.accepting = true,
-                         .free_cpu_millis = 27'000 * std::int64_t{places},
-                         .total_cpu_millis = 27'000 * 40};
+                         .free_cpu_millis = task_cpu_millis * places,
+                         .total_cpu_millis = task_cpu_millis * 40};
         load.places.free.fill(places);
         fixture_->deliver(load_reported{host_name(host), load});
     }
