Let a long task wait for a fast worker

Such a task now waits while it can still end in time on the fastest kind of worker, and leaves the slow worker to tasks that have the slack. Steps with a required label or a preferred rack do not wait.

--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -4,6 +4,7 @@
 #include "papayafall/core/jobs/policies/admission.hpp"
 #include "papayafall/core/jobs/policies/placement_policy.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -11,6 +12,13 @@
 
 namespace papayafall::jobs {
 
+/// Result of offering a waiting task to the workers.
+enum class start_attempt : std::uint8_t {
+    settled,              ///< it was started, or need not be started now
+    no_room,              ///< no worker can take it now
+    awaits_faster_worker, ///< it would end late on the workers that can take it now
+};
+
 /// Runs the tasks of delegated jobs on the workers of this host.
 ///
 /// A task has at most one run that is not known to have ended, and is started again only after
@@ -53,8 +61,7 @@
     void dequeue_task(job_board& board, const task_ref& task);
     void start_waiting_tasks(job_board& board, time_point now);
     /// Starts a run of a waiting task on a worker.
-    /// @return false if no worker can take it now
-    bool start_task(job_board& board, const task_ref& task, time_point now);
+    start_attempt start_task(job_board& board, const task_ref& task, time_point now);
     placement_demand placement_demand_of(const job_board& board, const task_ref& task,
                                          time_point now) const;
     /// Keeps room for a task that fits nowhere on the worker that is expected to have it first, so
--- a/packages/core/include/papayafall/core/jobs/controllers/speed_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/speed_controller.hpp
@@ -34,6 +34,9 @@
 /// Run time on a worker in relation to the declared one; 1: as declared.
 double slowness_of(const job_board& board, const worker_fields& it);
 
+/// Slowness of the fastest group of workers that share a label; 1 if none is known.
+double least_slowness(const job_board& board);
+
 /// Time from the start call to the report of the end for a run on a worker of that slowness.
 duration expected_run_time_at(double slowness, duration declared);
 
--- a/packages/core/include/papayafall/core/jobs/policies/placement_policy.hpp
+++ b/packages/core/include/papayafall/core/jobs/policies/placement_policy.hpp
@@ -5,6 +5,7 @@
 #include "papayafall/core/jobs/values/worker.hpp"
 #include "papayafall/core/policies/policy.hpp"
 
+#include <optional>
 #include <vector>
 
 namespace papayafall::jobs {
@@ -14,6 +15,8 @@
     const job_step* step = nullptr;
     /// Time within which it has to end for its job to meet the objective; negative: too late.
     duration time_left{};
+    /// Expected on the fastest kind of worker, which may have no room now.
+    duration best_run_time{};
     demand_sample recent; ///< demands of tasks like those that will follow
 
     auto operator<=>(const placement_demand&) const = default;
@@ -33,17 +36,20 @@
 /// Chooses the worker that runs a task.
 class placement_policy : public policy {
   public:
-    /// Returns the index of the chosen candidate.
+    /// Returns the index of the chosen candidate, or nothing if the task should wait for another
+    /// worker.
     /// @param candidates not empty; the task fits the free capacity of each
-    virtual std::size_t choose(const placement_demand& demand,
-                               const std::vector<placement_candidate>& candidates) const = 0;
+    virtual std::optional<std::size_t>
+    choose(const placement_demand& demand,
+           const std::vector<placement_candidate>& candidates) const = 0;
 };
 
 /// Baseline: chooses the first candidate.
 class first_fit final : public placement_policy {
   public:
-    std::size_t choose(const placement_demand& demand,
-                       const std::vector<placement_candidate>& candidates) const override;
+    std::optional<std::size_t>
+    choose(const placement_demand& demand,
+           const std::vector<placement_candidate>& candidates) const override;
 };
 
 } // namespace papayafall::jobs
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -335,7 +335,7 @@
         if (unplaced == max_unplaced_tasks) {
             return;
         }
-        if (start_task(board, it, now)) {
+        if (start_task(board, it, now) != start_attempt::no_room) {
             continue;
         }
         if (!needs_trial(board, it)) {
--- a/packages/core/src/jobs/controllers/dispatch_placement.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_placement.cpp
@@ -193,6 +193,7 @@
     const duration left = order.objective_deadline - now;
     return {.step = &step,
             .time_left = std::chrono::duration_cast<duration>(left * share),
+            .best_run_time = expected_run_time_at(least_slowness(board), step.estimated_run_time),
             .recent = *board.recent_demands};
 }
 
--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,10 +47,11 @@
 
 } // namespace
 
-bool dispatch_controller::start_task(job_board& board, const task_ref& task, time_point now)
+start_attempt dispatch_controller::start_task(job_board& board, const task_ref& task,
+                                              time_point now)
 {
     if (!board.waiting_ranks.contains(task)) {
-        return true;
+        return start_attempt::settled;
     }
     const job_state job = *board.jobs.find(task.job);
     const job_order_fields& order = *job->order;
@@ -57,19 +60,24 @@
     const auto previous_run = board.runs.lower_bound(id);
     if (previous_run != board.runs.end() && previous_run->key.job == id.job &&
         previous_run->key.step == id.step && previous_run->key.task == id.task) {
-        return true; // a run of the same task, of an earlier submission, has not ended yet
+        return start_attempt::settled; // a run of the same task, of an earlier submission, has not
+                                       // ended yet
     }
     const bool trial = needs_trial(board, task);
     if (trial && !trial_allowed(board, task)) {
-        return false;
+        return start_attempt::no_room;
     }
     const std::vector<placement_candidate> candidates = candidates_for(board, task, *job, now);
     if (candidates.empty()) {
-        return false;
+        return start_attempt::no_room;
     }
     const job_step& step = order.job->steps[task.step];
-    const placement_candidate& chosen =
-        candidates[placement_->choose(placement_demand_of(board, task, now), candidates)];
+    const std::optional<std::size_t> choice =
+        placement_->choose(placement_demand_of(board, task, now), candidates);
+    if (!choice) {
+        return start_attempt::awaits_faster_worker;
+    }
+    const placement_candidate& chosen = candidates[*choice];
     const worker_id chosen_worker = chosen.entry->id;
     const worker_session& session = *board.sessions.find(chosen_worker);
     const lease_request lease = request_lease(session, lease_length(board.parameters), now);
@@ -100,7 +108,7 @@
                                 .lease_until = lease.until,
                                 .timeout_at = now + run_call_timeout});
     board.raised.post(lease_extended{chosen_worker, lease.lease_expired_by});
-    return true;
+    return start_attempt::settled;
 }
 
 void dispatch_controller::on_start_answered(job_board& board, const start_answered& answered,
--- a/packages/core/src/jobs/controllers/speed_controller.cpp
+++ b/packages/core/src/jobs/controllers/speed_controller.cpp
@@ -1,5 +1,6 @@
 #include "papayafall/core/jobs/controllers/speed_controller.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <variant>
@@ -41,6 +42,17 @@
     return known == nullptr ? slowness_of_similar_workers(board, it).slowness() : known->slowness();
 }
 
+double least_slowness(const job_board& board)
+{
+    double least = slowness_of_similar_workers(board, {}).slowness();
+    for (const auto& it : board.label_slowness) {
+        if (it.value.samples >= min_label_samples) {
+            least = std::min(least, it.value.slowness());
+        }
+    }
+    return least;
+}
+
 duration expected_run_time_at(double slowness, duration declared)
 {
     return run_call_overhead + std::chrono::duration_cast<duration>(declared * slowness);
--- a/packages/core/src/jobs/policies/placement_policy.cpp
+++ b/packages/core/src/jobs/policies/placement_policy.cpp
@@ -2,8 +2,9 @@
 
 namespace papayafall::jobs {
 
-std::size_t first_fit::choose(const placement_demand& /*demand*/,
-                              const std::vector<placement_candidate>& /*candidates*/) const
+std::optional<std::size_t>
+first_fit::choose(const placement_demand& /*demand*/,
+                  const std::vector<placement_candidate>& /*candidates*/) const
 {
     return 0;
 }
--- a/packages/core/src/jobs/policies/slack_aware_placement.cpp
+++ b/packages/core/src/jobs/policies/slack_aware_placement.cpp
@@ -15,6 +15,8 @@
 /// A task is expected to end in time if it would even if it took longer by this factor. The tasks
 /// of a job differ, and the last one decides.
 constexpr double run_time_margin = 1.35;
+/// A task is expected to end late if this share of its expected run time already takes too long.
+constexpr double late_run_share = 0.9;
 /// Differences of unusable room below this share of the task's demand do not count.
 constexpr double unusable_room_share = 0.125;
 
@@ -28,6 +30,15 @@
     return it.expected_run_time * run_time_margin <= demand.time_left;
 }
 
+/// Whether the task would clearly end late on the worker, but not on a faster one. Steps that are
+/// bound to some workers do not wait, since the fastest workers may not be among these.
+bool is_too_slow(const placement_demand& demand, const placement_candidate& it)
+{
+    return demand.step->required_label.empty() && demand.step->preferred_rack.empty() &&
+           it.expected_run_time * late_run_share > demand.time_left &&
+           demand.best_run_time * run_time_margin <= demand.time_left;
+}
+
 /// Room that becomes unusable when the task is placed, in steps of a share of its demand.
 std::int64_t lost_room(const placement_demand& demand, const placement_candidate& it)
 {
@@ -40,8 +51,9 @@
 
 } // namespace
 
-std::size_t slack_aware_placement::choose(const placement_demand& demand,
-                                          const std::vector<placement_candidate>& candidates) const
+std::optional<std::size_t>
+slack_aware_placement::choose(const placement_demand& demand,
+                              const std::vector<placement_candidate>& candidates) const
 {
     const label_name& rack = demand.step->preferred_rack;
     const auto cost = [&](const placement_candidate& it) {
@@ -60,6 +72,9 @@
             least = next;
         }
     }
+    if (is_too_slow(demand, candidates[best])) {
+        return std::nullopt;
+    }
     return best;
 }
 
--- a/packages/core/tests/jobs/unit-placement_policy.cpp
+++ b/packages/core/tests/jobs/unit-placement_policy.cpp
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,7 +30,7 @@
         free_.push_back({.cpu_millis = cpu_millis});
     }
 
-    /// Places a task and returns the slowness of its worker; 0: it fits nowhere.
+    /// Places a task and returns the slowness of its worker; 0: it has to wait.
     double place(std::int64_t cpu_millis, milliseconds run_time, milliseconds time_left)
     {
         const job_step step{.count = 1, .need = {.cpu_millis = cpu_millis}};
@@ -49,8 +51,16 @@
         if (candidates.empty()) {
             return 0;
         }
-        const std::size_t chosen = positions[slack_aware_placement().choose(
-            {.step = &step, .time_left = time_left, .recent = recent_}, candidates)];
+        const std::optional<std::size_t> choice = slack_aware_placement().choose(
+            {.step = &step,
+             .time_left = time_left,
+             .best_run_time = duration_cast<duration>(run_time * fast),
+             .recent = recent_},
+            candidates);
+        if (!choice) {
+            return 0;
+        }
+        const std::size_t chosen = positions[*choice];
         free_[chosen] = free_[chosen] - step.need;
         return slowness_[chosen];
     }
@@ -66,6 +76,7 @@
     CPPUNIT_TEST_SUITE(placement_policy_test);
     CPPUNIT_TEST(long_tasks_find_fast_workers_while_short_ones_fill_the_slow);
     CPPUNIT_TEST(a_task_that_is_late_everywhere_goes_to_the_fastest_worker);
+    CPPUNIT_TEST(a_task_that_a_slow_worker_would_make_late_waits_for_a_fast_one);
     CPPUNIT_TEST(a_task_takes_the_room_that_no_other_task_could_use);
     CPPUNIT_TEST(workers_to_avoid_come_last);
     CPPUNIT_TEST(the_preferred_rack_comes_before_the_speed);
@@ -98,6 +109,19 @@
         CPPUNIT_ASSERT_EQUAL(fast, workers.place(32'000, milliseconds(760), milliseconds(100)));
     }
 
+    // Load: long tasks fill the fast worker of two; the next one could still end in time there.
+    void a_task_that_a_slow_worker_would_make_late_waits_for_a_fast_one()
+    {
+        fleet workers;
+        workers.add("slow", slow, slow_cpu_millis);
+        workers.add("fast", fast, fast_cpu_millis);
+        for (int n = 0; n < 3; ++n) {
+            CPPUNIT_ASSERT_EQUAL(fast, workers.place(32'000, milliseconds(760), milliseconds(900)));
+        }
+        CPPUNIT_ASSERT_EQUAL(0.0, workers.place(32'000, milliseconds(760), milliseconds(900)));
+        CPPUNIT_ASSERT_EQUAL(slow, workers.place(32'000, milliseconds(760), milliseconds(500)));
+    }
+
     // Load: tasks of 20 and 11 cores; 31 and 24 cores are free on two workers of equal speed.
     void a_task_takes_the_room_that_no_other_task_could_use()
     {
@@ -113,7 +137,8 @@
         const job_step small{.count = 1, .need = {.cpu_millis = 11'000}};
         const placement_demand demand{
             .step = &small, .time_left = milliseconds(100), .recent = recent};
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, slack_aware_placement().choose(demand, candidates));
+        CPPUNIT_ASSERT(std::optional<std::size_t>(1) ==
+                       slack_aware_placement().choose(demand, candidates));
     }
 
     void workers_to_avoid_come_last()
@@ -123,9 +148,9 @@
             {.entry = &entries[0], .free = {.cpu_millis = 20'000}, .avoided = true},
             {.entry = &entries[1], .free = {.cpu_millis = 60'000}, .slowness = fast}};
         const job_step step{.count = 1, .need = {.cpu_millis = 11'000}};
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             slack_aware_placement().choose(
-                                 {.step = &step, .time_left = milliseconds(100)}, candidates));
+        CPPUNIT_ASSERT(std::optional<std::size_t>(1) ==
+                       slack_aware_placement().choose(
+                           {.step = &step, .time_left = milliseconds(100)}, candidates));
     }
 
     void the_preferred_rack_comes_before_the_speed()
@@ -137,9 +162,9 @@
             {.entry = &entries[0], .free = {.cpu_millis = 60'000}, .slowness = fast},
             {.entry = &entries[1], .free = {.cpu_millis = 60'000}, .slowness = slow}};
         const job_step step{.count = 1, .need = {.cpu_millis = 11'000}, .preferred_rack = rack};
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             slack_aware_placement().choose(
-                                 {.step = &step, .time_left = milliseconds(100)}, candidates));
+        CPPUNIT_ASSERT(std::optional<std::size_t>(1) ==
+                       slack_aware_placement().choose(
+                           {.step = &step, .time_left = milliseconds(100)}, candidates));
     }
 };
 
