Let all reachable capacity work off the queue in the forecast

unit-crashing_tasks a_worker_is_kept_free_for_a_task_that_needs_it_alone failed since the first commit of this branch: with 0.85 of the capacity in the forecast, its job of eight tasks for four places was refused.

--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -20,9 +20,6 @@
 constexpr std::size_t max_examined_jobs = 256;
 /// Time between two reviews of the queues.
 constexpr duration queue_review_period = std::chrono::milliseconds(10);
-/// Part of a service's capacity that runs tasks when many wait. The rest lies on the workers in
-/// pieces that are too small.
-constexpr double usable_capacity_part = 0.85;
 
 /// Capacity of the workers of a service.
 struct service_capacity {
@@ -65,10 +62,9 @@
                               const service_capacity& capacity, time_point now)
 {
     const service_backlog* backlog = board.backlogs.find(service);
-    const std::int64_t usable = capacity.reachable > 0 ? capacity.reachable : capacity.controlled;
     queue_forecast queue{
         .now = now,
-        .cpu_millis = static_cast<std::int64_t>(static_cast<double>(usable) * usable_capacity_part),
+        .cpu_millis = capacity.reachable > 0 ? capacity.reachable : capacity.controlled,
     };
     if (backlog == nullptr) {
         return queue;
