--- a/packages/core/src/jobs/policies/least_cost_admission.cpp
+++ b/packages/core/src/jobs/policies/least_cost_admission.cpp
@@ -13,7 +13,7 @@
 constexpr double decision_fraction = 0.18;
 /// Fraction of a job's slack that is left for declared run times that are too short, and for tasks
 /// that take longer than the others of their job.
-constexpr double kept_slack_fraction = 0.25;
+constexpr double kept_slack_fraction = 0.1;
 /// Fraction of the expected run time that a task takes on a fast worker.
 constexpr double fast_run_fraction = 0.7;
 /// Cost of a new job over that of the jobs that it displaces, from which it is worth that these
