--- a/packages/core/src/jobs/controllers/dispatch_runs.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_runs.cpp
@@ -173,7 +173,7 @@
 void dispatch_controller::repeat_due_stops(job_board& board, time_point now)
 {
     while (const auto due = board.refused_stops.expired(now)) {
-        const run_id id = *due;
+        const run_id& id = *due;
         const worker_id called = *board.refused_stops.find(id);
         refused_stops_.erase(id);
         const run_state* run = board.runs.find(id);
--- a/packages/core/tests/jobs/unit-evacuation.cpp
+++ b/packages/core/tests/jobs/unit-evacuation.cpp
@@ -138,7 +138,7 @@
     void the_end_of_an_evacuation_takes_effect()
     {
         evacuate(20);
-        fixture_->deliver(zone_evacuation_unlisted{zone});
+        fixture_->deliver(zone_evacuation_unlisted{zone_});
         CPPUNIT_ASSERT(own_load(fixture_->board()).accepting);
         submit(1, 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture_->take_actions<start_run>().size());
@@ -148,11 +148,11 @@
     {
         evacuate(20);
         evacuate(20);
-        fixture_->deliver(zone_evacuation_unlisted{zone});
+        fixture_->deliver(zone_evacuation_unlisted{zone_});
         const auto told = fixture_->take_actions<publish_evacuation>();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, told.size());
-        CPPUNIT_ASSERT((told[0].request == zone_evacuation{zone, store_revision(20), false}));
-        CPPUNIT_ASSERT((told[1].request == zone_evacuation{zone, store_revision(20), true}));
+        CPPUNIT_ASSERT((told[0].request == zone_evacuation{zone_, store_revision(20), false}));
+        CPPUNIT_ASSERT((told[1].request == zone_evacuation{zone_, store_revision(20), true}));
     }
 
     // Guards against starts by a host that is cut off from the store.
@@ -179,7 +179,7 @@
     {
         evacuate(20);
         report(30, false);
-        fixture_->deliver(zone_evacuation_unlisted{zone}); // the one of revision 20
+        fixture_->deliver(zone_evacuation_unlisted{zone_}); // the one of revision 20
         CPPUNIT_ASSERT(!own_load(fixture_->board()).accepting);
     }
 
@@ -205,17 +205,17 @@
     }
 
   private:
-    const zone_name zone{"zone-a"};
+    const zone_name zone_{"zone-a"};
 
     void evacuate(std::uint64_t revision)
     {
-        fixture_->deliver(zone_evacuation_listed{zone, store_revision(revision)});
+        fixture_->deliver(zone_evacuation_listed{zone_, store_revision(revision)});
     }
 
     void report(std::uint64_t revision, bool ended)
     {
         fixture_->deliver(zone_evacuation_reported{
-            {.zone = zone, .revision = store_revision(revision), .ended = ended},
+            {.zone = zone_, .revision = store_revision(revision), .ended = ended},
             host_name("entry-2")});
     }
 
--- a/packages/core/tests/policies/unit-least_cost_admission.cpp
+++ b/packages/core/tests/policies/unit-least_cost_admission.cpp
@@ -329,7 +329,7 @@
     }
 
   private:
-    const least_cost_admission policy_;
+    const least_cost_admission policy_{};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(least_cost_admission_test);
