--- a/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
+++ b/packages/core/include/papayafall/core/jobs/controllers/dispatch_controller.hpp
@@ -79,8 +79,6 @@
     void record_admission(job_board& board, const queue_name& queue, core_time work, bool started,
                           time_point now);
     core_time expected_work(const job_board& board, const job_order_fields& order) const;
-    /// Expected length of the job's critical path.
-    duration expected_job_run_time(const job_board& board, const job_order_fields& order) const;
     void change_backlog(job_board& board, const service_name& service, core_time started,
                         core_time unstarted);
 
--- a/packages/core/include/papayafall/core/jobs/policies/admission.hpp
+++ b/packages/core/include/papayafall/core/jobs/policies/admission.hpp
@@ -12,7 +12,8 @@
 
 /// A job of which no task was started.
 struct queued_job {
-    job_number number;     ///< 0 for a job that is not in the queue yet
+    job_number number;                          ///< 0 for a job that is not in the queue yet
+    waiting_group group = waiting_group::other; ///< earlier classes get room first
     time_point start_by;   ///< latest start that lets the job meet its objective
     core_time work;        ///< expected work of all its tasks
     double cost = 0;       ///< what its refusal costs the caller, by `job_cost_policy`
@@ -26,7 +27,7 @@
     time_point now;
     std::int64_t cpu_millis = 0;  ///< capacity that works off the queue, in thousandths of a core
     core_time started_work;       ///< waiting tasks of jobs that have started; they go first
-    std::vector<queued_job> jobs; ///< by latest start; of a long queue, the first ones
+    std::vector<queued_job> jobs; ///< by class and latest start; of a long queue, the first ones
     core_time work_beyond;        ///< of the jobs behind those in `jobs`
 
     auto operator<=>(const queue_forecast&) const = default;
--- a/packages/core/include/papayafall/core/jobs/state/job_state.hpp
+++ b/packages/core/include/papayafall/core/jobs/state/job_state.hpp
@@ -63,12 +63,19 @@
 /// Class of a waiting task; earlier classes go first.
 enum class waiting_group : std::uint8_t {
     started, ///< a task of the job was started before; the job ends with its last task
-    unstarted,
+    urgent,  ///< a job of the highest priority of which no task was started
+    other,
 };
 
+/// Class of the tasks of a job of which no task was started.
+constexpr waiting_group unstarted_group_of(const job_order_fields& order) noexcept
+{
+    return order.priority == 0 ? waiting_group::urgent : waiting_group::other;
+}
+
 /// Sort key of the waiting tasks; the smallest is offered to the workers first.
 struct waiting_rank {
-    waiting_group group = waiting_group::unstarted;
+    waiting_group group = waiting_group::other;
     time_point start_by; ///< latest start that lets the job meet its objective
     task_ref task;
 
@@ -132,6 +139,7 @@
 /// Sort key of the jobs of a service of which no task was started.
 struct waiting_job_rank {
     service_name service;
+    waiting_group group = waiting_group::other;
     time_point start_by; ///< latest start that lets the job meet its objective
     job_number job;
 
--- a/packages/core/src/jobs/controllers/dispatch_admission.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_admission.cpp
@@ -1,6 +1,5 @@
 #include "papayafall/core/jobs/controllers/dispatch_controller.hpp"
 
-#include "papayafall/core/jobs/policies/place_forecast.hpp"
 #include "papayafall/core/jobs/policies/retry_time.hpp"
 
 #include <algorithm>
@@ -60,6 +59,7 @@
         }
         queue.jobs.push_back(
             {.number = it->key.job,
+             .group = it->key.group,
              .start_by = it->key.start_by,
              .work = job.work,
              .cost = job.cost,
@@ -96,22 +96,18 @@
     return sum;
 }
 
-duration dispatch_controller::expected_job_run_time(const job_board& board,
-                                                    const job_order_fields& order) const
-{
-    return expected_run_time(board, order.queue,
-                             {.estimated_run_time = critical_path_duration(*order.job)});
-}
-
 job_request dispatch_controller::make_request(const job_board& board, const job_order_fields& order,
                                               time_point now) const
 {
     const core_time work = expected_work(board, order);
-    const duration run_time = expected_job_run_time(board, order);
-    job_request request{.job = {.start_by = admission_->latest_start(order, run_time),
-                                .work = work,
-                                .cost = cost_->cost(order, work)},
-                        .room_at = now};
+    // By the declared run time, from which the objective is derived, too. A job that can start at
+    // once is not late by its start, whatever its objective.
+    const duration run_time = critical_path_duration(*order.job);
+    job_request request{
+        .job = {.start_by = std::max(admission_->latest_start(order, run_time), now),
+                .work = work,
+                .cost = cost_->cost(order, work)},
+        .room_at = now};
     if (const queue_admissions* shares = board.admissions_by_queue.find(order.queue)) {
         request.underserved =
             is_underserved(board, order.queue, now) ||
@@ -121,7 +117,6 @@
         return request;
     }
     const job_step& step = widest_step(*order.job);
-    const place_forecast places = forecast_places(board, order.service, step.need, step.count, now);
     // Free cores count wherever they lie. If only whole places did, a job of wide tasks would be
     // refused while small tasks go on filling the pieces.
     const std::int64_t free =
@@ -130,9 +125,6 @@
         std::max<std::int64_t>(step.need.cpu_millis * std::int64_t{step.count} - free, 0);
     request.unplaced_work.microseconds =
         missing / 1000 * expected_run_time(board, order.queue, step).count();
-    // More tasks than the runs in progress leave places for start in several turns, by the work
-    // ahead.
-    request.room_at = places.available_at == no_deadline ? now : places.available_at;
     return request;
 }
 
@@ -182,8 +174,10 @@
                                           const job_request& request)
 {
     const job_order& order = (*board.jobs.find(number))->order;
-    const waiting_job_rank rank{
-        .service = order->service, .start_by = request.job.start_by, .job = number};
+    const waiting_job_rank rank{.service = order->service,
+                                .group = request.job.group,
+                                .start_by = request.job.start_by,
+                                .job = number};
     waiting_jobs_.put(rank, {.queue = order->queue,
                              .work = request.job.work,
                              .cost = request.job.cost,
--- a/packages/core/src/jobs/controllers/dispatch_controller.cpp
+++ b/packages/core/src/jobs/controllers/dispatch_controller.cpp
@@ -388,8 +388,7 @@
         finish_job(board, number, job_outcome::failed, now);
         return;
     }
-    const time_point give_up_at =
-        admission_->give_up_at(order, expected_job_run_time(board, order));
+    const time_point give_up_at = admission_->give_up_at(order, critical_path_duration(*order.job));
     if (now >= give_up_at) {
         const bool expired = now >= order.expires_at;
         refuse_job(board, number,
@@ -418,7 +417,7 @@
     const job_state job = *board.jobs.find(task.job);
     const job_step& step = job->order->job->steps[task.step];
     const waiting_rank rank{
-        .group = job->started ? waiting_group::started : waiting_group::unstarted,
+        .group = job->started ? waiting_group::started : unstarted_group_of(*job->order),
         .start_by = admission_->latest_start(*job->order,
                                              expected_run_time(board, job->order->queue, step)),
         .task = task,
--- a/packages/core/src/jobs/policies/least_cost_admission.cpp
+++ b/packages/core/src/jobs/policies/least_cost_admission.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <tuple>
 
 namespace papayafall::jobs {
 
@@ -36,7 +37,9 @@
     {
         entries_.reserve(queue.jobs.size() + 1);
         for (const queued_job& it : queue.jobs) {
-            if (request != nullptr && !inserted_ && request->job.start_by < it.start_by) {
+            if (request != nullptr && !inserted_ &&
+                std::tie(request->job.group, request->job.start_by) <
+                    std::tie(it.group, it.start_by)) {
                 insert_request();
             }
             entries_.push_back({it});
