--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
 for it in "${parts[@]}"; do
     g++ -std=c++20 -O1 -c "review/stand_in_3/$it.cpp" -o "$out/$it.o"
 done
-for it in blocked_queue forgotten_cancel stale_room; do
+for it in blocked_queue forgotten_cancel stale_room late_connection; do
     g++ -std=c++20 -O1 "review/stand_in_3/$it.cpp" $(printf "$out/%s.o " "${parts[@]}") -o "$out/$it"
 done
