--- a/review/stand_in_3/blocked_queue.cpp
+++ b/review/stand_in_3/blocked_queue.cpp
@@ -1,5 +1,6 @@
-/// One job that can never be done arrives while the hosts recover from the final fault, and all
-/// other jobs are refused from then on.
+/// One job arrives while the hosts recover from the final fault, and all other jobs are refused
+/// from then on. The job can never be done or, with the argument `large`, is a valid one of many
+/// tasks.
 
 #include "case.hpp"
 
@@ -25,11 +26,17 @@
 // has.
 constexpr std::int64_t impossible_cpu = 70000;
 constexpr std::int64_t impossible_estimate_ms = 8000;
-constexpr std::int64_t impossible_deadline_ms = 60000;
+
+// The large job: its tasks run on different runners, on each of which room is left for others.
+constexpr int large_tasks = 9;
+constexpr std::int64_t large_cpu = 27000;
+constexpr std::int64_t large_task_ms = 12000;
+
+constexpr std::int64_t blocking_deadline_ms = 60000;
 /// What a refusal tells its client to wait.
 constexpr std::int64_t retry_after_ms = 1000;
 /// Time from the return of the machines until it arrives.
-constexpr std::int64_t impossible_delay_ms = 2000;
+constexpr std::int64_t blocking_delay_ms = 2000;
 
 // Of the pages.
 constexpr std::int64_t recovery_ms = 12000;
@@ -54,6 +61,20 @@
         .dump();
 }
 
+std::string large_job_body()
+{
+    using nlohmann::json;
+    const json step{{"count", large_tasks},
+                    {"cpu", large_cpu},
+                    {"mem_mb", 64},
+                    {"estimated_ms", large_task_ms},
+                    {"anti_affinity", 1}};
+    return json{{"spec", std::to_string(large_task_ms)},
+                {"best_effort", true},
+                {"steps", json::array({step})}}
+        .dump();
+}
+
 struct tally {
     int sent = 0;
     int served = 0;
@@ -63,7 +84,7 @@
     bool is_quarter_served() const { return served * 4 >= sent; }
 };
 
-int run(record& log)
+int run(record& log, const std::string& blocking_body)
 {
     const temporary_folder folder;
     event_loop loop;
@@ -117,20 +138,20 @@
     if (!hosts.await_readiness(4000)) {
         return exit_could_not_run;
     }
-    loop.run_for(back_at + impossible_delay_ms - now_ms());
+    loop.run_for(back_at + blocking_delay_ms - now_ms());
     // Its client asks again when it is told that the job has not run.
-    const std::string impossible_job = job_id(++last_job);
-    std::function<void()> submit_impossible = [&] {
-        submit(loop, log, hosts, 0, impossible_job, impossible_job_body(), impossible_deadline_ms,
+    const std::string blocking_job = job_id(++last_job);
+    std::function<void()> submit_blocking = [&] {
+        submit(loop, log, hosts, 0, blocking_job, blocking_body, blocking_deadline_ms,
                [&](int status, const http_message&) {
                    if (submitting && status == 503) {
-                       loop.after(retry_after_ms, submit_impossible);
+                       loop.after(retry_after_ms, submit_blocking);
                    }
                });
     };
     if (has_trouble()) {
-        log.write("job " + impossible_job + " can never be done");
-        submit_impossible();
+        log.write("job " + blocking_job + " holds up the others");
+        submit_blocking();
     }
     loop.run_for(back_at + recovery_ms - now_ms());
     log.write("the machines have been back for " + std::to_string(recovery_ms) + " ms");
@@ -149,11 +170,12 @@
 
 } // namespace
 
-int main(int /*argc*/, char** argv)
+int main(int argc, char** argv)
 {
     try {
         record log(argv[1]);
-        return run(log);
+        const bool large = argc > 2 && std::string(argv[2]) == "large";
+        return run(log, large ? large_job_body() : impossible_job_body());
     } catch (const std::exception& ex) {
         std::cerr << ex.what() << '\n';
         return exit_could_not_run;
